Set up modules, build checks and shared interfaces

Cause: the parts are written in parallel and need fixed interfaces. Change: Maven modules, formatter and linter, model records, message records, key-value store and worker interfaces, design page. Conclusion: later parts can be built and checked on their own.

--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks and the quickstart program. */
+package org.knapweedbank.bench;
--- /dev/null
+++ b/config/src/main/java/org/knapweedbank/config/package-info.java
@@ -0,0 +1,2 @@
+/** Base file, site overlays, generations and audit records. */
+package org.knapweedbank.config;
--- /dev/null
+++ b/control/src/main/java/org/knapweedbank/control/package-info.java
@@ -0,0 +1,2 @@
+/** Partition controller: sessions, permits, task life and recovery. */
+package org.knapweedbank.control;
--- /dev/null
+++ b/daemon/src/main/java/org/knapweedbank/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** Main class and settings of the daemon. */
+package org.knapweedbank.daemon;
--- /dev/null
+++ b/entry/src/main/java/org/knapweedbank/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Entry role: callers, operators and partitions. */
+package org.knapweedbank.entry;
--- /dev/null
+++ b/model/src/main/java/org/knapweedbank/model/package-info.java
@@ -0,0 +1,2 @@
+/** Identifiers, resource vectors and outcomes that all modules share. */
+package org.knapweedbank.model;
--- /dev/null
+++ b/model/src/main/java/org/knapweedbank/time/SystemClock.java
@@ -0,0 +1,16 @@
+package org.knapweedbank.time;
+
+import java.time.Instant;
+
+/** Clock of the operating system. */
+public final class SystemClock implements Clock {
+    @Override
+    public Instant wallTime() {
+        return Instant.now();
+    }
+
+    @Override
+    public long monotonicNanos() {
+        return System.nanoTime();
+    }
+}
--- /dev/null
+++ b/model/src/main/java/org/knapweedbank/time/package-info.java
@@ -0,0 +1,2 @@
+/** Clock interface and its implementations. */
+package org.knapweedbank.time;
--- /dev/null
+++ b/routing/src/main/java/org/knapweedbank/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Request policy: pure decisions about upstreams, retries and admission. */
+package org.knapweedbank.routing;
--- /dev/null
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/package-info.java
@@ -0,0 +1,2 @@
+/** Scheduling decisions: tasks, placement, quotas and interference. */
+package org.knapweedbank.scheduling;
--- /dev/null
+++ b/standin/src/main/java/org/knapweedbank/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and for upstreams. */
+package org.knapweedbank.standin;
--- /dev/null
+++ b/store/src/main/java/org/knapweedbank/store/StoreWatch.java
@@ -0,0 +1,7 @@
+package org.knapweedbank.store;
+
+/** An open watch. */
+public interface StoreWatch extends AutoCloseable {
+    @Override
+    void close();
+}
--- /dev/null
+++ b/store/src/main/java/org/knapweedbank/store/package-info.java
@@ -0,0 +1,2 @@
+/** Interface of the platform's key-value service. */
+package org.knapweedbank.store;
--- /dev/null
+++ b/tools/src/main/java/org/knapweedbank/tools/package-info.java
@@ -0,0 +1,2 @@
+/** Operators' command-line client. */
+package org.knapweedbank.tools;
--- /dev/null
+++ b/wire/src/main/java/org/knapweedbank/wire/Hello.java
@@ -0,0 +1,23 @@
+package org.knapweedbank.wire;
+
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+
+/**
+ * First frame of a connection, sent by the side that opened it.
+ *
+ * @param role role of the sender
+ * @param daemon sender
+ * @param incarnation start number of the sender; grows with each restart
+ * @param dataCentre data centre of the sender
+ * @param minVersion lowest protocol version that the sender speaks
+ * @param maxVersion highest protocol version that the sender speaks
+ */
+public record Hello(
+        DaemonRole role,
+        DaemonId daemon,
+        long incarnation,
+        DataCentreId dataCentre,
+        int minVersion,
+        int maxVersion)
+        implements Message {}
