Define the interfaces between scheduling, control, configuration and store

Cause: the modules are written in parallel. Conclusion: each module can be tested against its neighbour's interface.

--- /dev/null
+++ b/config/src/main/java/org/knapweedbank/config/SiteConfiguration.java
@@ -0,0 +1,58 @@
+package org.knapweedbank.config;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobSpec;
+
+/**
+ * One generation of a site's configuration: base file and overlay, merged and checked.
+ *
+ * @param generation generation, from 1; grows with each accepted change
+ * @param site name of the site
+ * @param partitionsPerRegion number of scheduling partitions in each region
+ * @param dataCentres data centres of the site
+ * @param services services that callers can reach
+ * @param teams teams with quotas
+ * @param jobs jobs that are to run without being submitted
+ */
+public record SiteConfiguration(
+        long generation,
+        String site,
+        int partitionsPerRegion,
+        List<DataCentreSettings> dataCentres,
+        List<ServiceSettings> services,
+        List<TeamSettings> teams,
+        List<JobSpec> jobs) {
+    /** Copies the lists. */
+    public SiteConfiguration {
+        dataCentres = List.copyOf(dataCentres);
+        services = List.copyOf(services);
+        teams = List.copyOf(teams);
+        jobs = List.copyOf(jobs);
+    }
+
+    /**
+     * The data centres that are out of service.
+     *
+     * @return their names
+     */
+    public Set<DataCentreId> removed() {
+        return dataCentres.stream()
+                .filter(DataCentreSettings::removed)
+                .map(DataCentreSettings::id)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Finds a service.
+     *
+     * @param name name of the service
+     * @return its settings, or empty
+     */
+    public Optional<ServiceSettings> service(String name) {
+        return services.stream().filter(service -> service.name().equals(name)).findFirst();
+    }
+}
--- /dev/null
+++ b/store/src/main/java/org/knapweedbank/store/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Leases of daemons and ownership of partitions. */
+package org.knapweedbank.store.lease;
--- a/wire/src/main/java/org/knapweedbank/wire/Message.java
+++ b/wire/src/main/java/org/knapweedbank/wire/Message.java
@@ -36,4 +36,6 @@
                 StreamMoved,
                 UpstreamDelta,
                 StatusQuery,
-                StatusReply {}
+                StatusReply,
+                OperatorCall,
+                OperatorReply {}
