--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -0,0 +1,50 @@
+package org.knapweedbank.bench;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.SerializationFeature;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.UncheckedIOException;
+import java.util.List;
+
+/** Runs the benchmarks named on the command line and prints one JSON object a line. */
+public final class BenchmarkRunner {
+    private static final List<Benchmark> BENCHMARKS = List.of();
+
+    private BenchmarkRunner() {}
+
+    /**
+     * Runs benchmarks.
+     *
+     * @param args names or prefixes of names; none lists the names
+     * @throws Exception when a benchmark cannot run
+     */
+    public static void main(String[] args) throws Exception {
+        if (args.length == 0) {
+            BENCHMARKS.forEach(benchmark -> System.out.println(benchmark.name()));
+            return;
+        }
+        List<Benchmark> selected =
+                BENCHMARKS.stream().filter(benchmark -> matches(benchmark, args)).toList();
+        if (selected.isEmpty()) {
+            System.err.println("bench: no benchmark of that name; run without one for the list");
+            System.exit(2);
+        }
+        ObjectMapper mapper = new ObjectMapper().disable(SerializationFeature.CLOSE_CLOSEABLE);
+        for (Benchmark benchmark : selected) {
+            benchmark.run(figure -> print(mapper, figure, System.out));
+        }
+    }
+
+    private static boolean matches(Benchmark benchmark, String[] names) {
+        return List.of(names).stream().anyMatch(name -> benchmark.name().startsWith(name));
+    }
+
+    private static void print(ObjectMapper mapper, Figure figure, PrintStream out) {
+        try {
+            out.println(mapper.writeValueAsString(figure));
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+    }
+}
--- /dev/null
+++ b/entry/src/main/java/org/knapweedbank/entry/operator/package-info.java
@@ -0,0 +1,2 @@
+/** Operator HTTP: authenticated routes for configuration, data centres, jobs and status. */
+package org.knapweedbank.entry.operator;
