--- /dev/null
+++ b/routing/src/test/java/org/knapweedbank/routing/FixedPool.java
@@ -0,0 +1,46 @@
+package org.knapweedbank.routing;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.knapweedbank.model.DaemonId;
+
+/** Pool that offers its upstreams in a fixed order and records what is reported to it. */
+final class FixedPool implements UpstreamPool {
+    final Set<UpstreamId> mUpstreams = new LinkedHashSet<>();
+    final List<AttemptResult> mResults = new ArrayList<>();
+    int mOpen;
+
+    FixedPool(String... agents) {
+        for (String agent : agents) {
+            mUpstreams.add(id(agent));
+        }
+    }
+
+    static UpstreamId id(String agent) {
+        return new UpstreamId(new DaemonId(agent), agent + ":80");
+    }
+
+    @Override
+    public Optional<UpstreamId> select(Set<UpstreamId> excluded) {
+        return mUpstreams.stream().filter(id -> !excluded.contains(id)).findFirst();
+    }
+
+    @Override
+    public boolean available(UpstreamId upstream) {
+        return mUpstreams.contains(upstream);
+    }
+
+    @Override
+    public void sent(UpstreamId upstream) {
+        mOpen++;
+    }
+
+    @Override
+    public void ended(UpstreamId upstream, AttemptResult result) {
+        mOpen--;
+        mResults.add(result);
+    }
+}
--- /dev/null
+++ b/routing/src/test/java/org/knapweedbank/routing/RequestPlanFaultTest.java
@@ -0,0 +1,228 @@
+package org.knapweedbank.routing;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.knapweedbank.time.ManualClock;
+
+/**
+ * Runs each kind of request into each fault at each step and compares the actions with the rules
+ * for requests: sent twice, a false "not run", a truncated answer shown as complete, a lost claim.
+ */
+class RequestPlanFaultTest {
+    private static final long SECOND = 1_000_000_000L;
+    private static final Map<String, PlanEvent> EVENTS = events();
+
+    private final ManualClock mClock = new ManualClock();
+    private final FixedPool mPool = new FixedPool("a", "b", "c");
+
+    private static Map<String, PlanEvent> events() {
+        Map<String, PlanEvent> events = new TreeMap<>();
+        events.put("start", new PlanEvent.Start());
+        events.put("granted", new PlanEvent.ClaimGranted());
+        events.put("held", new PlanEvent.ClaimHeld("a", "earlier"));
+        events.put("heldElsewhere", new PlanEvent.ClaimHeld("", "earlier"));
+        events.put("storeDown", new PlanEvent.ClaimUnavailable("down"));
+        events.put("storeLost", new PlanEvent.ClaimUnknown("lost"));
+        events.put("hedge", new PlanEvent.HedgeDue());
+        events.put("resume", new PlanEvent.ResumeDue());
+        events.put("deadline", new PlanEvent.DeadlinePassed());
+        events.put("gone", new PlanEvent.CallerGone());
+        for (int i = 1; i <= 3; i++) {
+            events.put("notSent" + i, new PlanEvent.NotSent(i, "refused"));
+            events.put("lost" + i, new PlanEvent.ConnectionLost(i, "broken"));
+            events.put("head" + i, new PlanEvent.Head(i, 200, false));
+            events.put("stream" + i, new PlanEvent.Head(i, 200, true));
+            events.put("error" + i, new PlanEvent.Head(i, 500, false));
+            events.put("x" + i, new PlanEvent.Chunk(i, 0, new byte[10]));
+            events.put("y" + i, new PlanEvent.Chunk(i, 1, new byte[5]));
+            events.put("big" + i, new PlanEvent.Chunk(i, 0, new byte[100_000]));
+            events.put("end" + i, new PlanEvent.End(i, 2, 15));
+            events.put("endOne" + i, new PlanEvent.End(i, 1, 10));
+            events.put("endBig" + i, new PlanEvent.End(i, 2, 100_005));
+            events.put("endMore" + i, new PlanEvent.End(i, 2, 99));
+            events.put("notRun" + i, new PlanEvent.NotRun(i, "busy", false));
+            events.put("unknown" + i, new PlanEvent.OutcomeUnknown(i, "unknown"));
+            events.put("moved" + i, new PlanEvent.StreamMoved(i));
+        }
+        return events;
+    }
+
+    @ParameterizedTest
+    @CsvFileSource(resources = "request-plan-faults.csv", delimiter = '|')
+    void eachFaultAtEachStep(String kind, String events, String actions) {
+        RequestPlan plan = plan(kind);
+        assertThat(run(plan, events)).isEqualTo(actions);
+        if (plan.finished()) {
+            assertWithMessage("open attempts").that(mPool.mOpen).isEqualTo(0);
+        }
+    }
+
+    @Test
+    void noUpstreamIsNotRun() {
+        mPool.mUpstreams.clear();
+        assertThat(run(plan("get"), "start")).isEqualTo("refuse503not-run");
+        assertThat(run(plan("keyed"), "start")).isEqualTo("refuse503not-run");
+    }
+
+    /** Guards against a claim that stays when the upstreams leave while the key is claimed. */
+    @Test
+    void upstreamsLeaveDuringClaim() {
+        RequestPlan plan = plan("keyed");
+        assertThat(run(plan, "start")).isEqualTo("claima");
+        mPool.mUpstreams.remove(FixedPool.id("a"));
+        assertThat(run(plan, "granted")).isEqualTo("send1b");
+        RequestPlan second = plan("keyed");
+        assertThat(run(second, "start")).isEqualTo("claimb");
+        mPool.mUpstreams.clear();
+        assertThat(run(second, "granted")).isEqualTo("release refuse503not-run");
+    }
+
+    /** Guards against a stream that ends when no upstream can continue it for a moment. */
+    @Test
+    void streamWaitsForAnUpstream() {
+        RequestPlan plan = plan("watch");
+        run(plan, "start stream1 x1");
+        mPool.mUpstreams.clear();
+        assertThat(run(plan, "moved1 resume resume")).isEqualTo("timer timer timer");
+        mPool.mUpstreams.add(FixedPool.id("c"));
+        assertThat(run(plan, "resume stream2 x2")).isEqualTo("send2c timer body2");
+    }
+
+    /** Guards against a stream that is retried for ever. */
+    @Test
+    void streamIsGivenUpAfterManyAttempts() {
+        RequestPlan plan = plan("watch");
+        run(plan, "start stream1 x1");
+        mPool.mUpstreams.clear();
+        run(plan, "lost1");
+        String last = "";
+        for (int i = 0; i < 50 && !plan.finished(); i++) {
+            last = run(plan, "resume");
+        }
+        assertThat(last).isEqualTo("abort");
+    }
+
+    @Test
+    void retriesStopAtTheBudget() {
+        RequestPlan plan = plan("get", new RetryBudget(0.1, 0.5));
+        assertThat(run(plan, "start lost1")).isEqualTo("send1a refuse502unknown");
+    }
+
+    /** Guards against an upstream that never answers and is never ejected. */
+    @Test
+    void silenceCountsAgainstTheUpstream() {
+        RequestPlan plan = plan("get");
+        run(plan, "start");
+        mClock.advance(Duration.ofSeconds(5));
+        run(plan, "deadline");
+        assertThat(mPool.mResults).containsExactly(AttemptResult.FAILED);
+    }
+
+    /** Runs each pair and triple of events and checks the rules that hold for all of them. */
+    @ParameterizedTest
+    @MethodSource("kinds")
+    void rulesHoldForAllSequences(String kind) {
+        List<String> names = EVENTS.keySet().stream().filter(name -> !name.endsWith("3")).toList();
+        String prefix = kind.equals("keyed") ? "start granted " : "start ";
+        for (String first : names) {
+            for (String second : names) {
+                for (String third : names) {
+                    String events = prefix + first + " " + second + " " + third;
+                    checkRules(kind, events, plan(kind));
+                }
+            }
+        }
+    }
+
+    static Stream<String> kinds() {
+        return Stream.of("get", "post", "keyed", "watch");
+    }
+
+    private static void checkRules(String kind, String events, RequestPlan plan) {
+        Set<Integer> sent = new HashSet<>();
+        Map<Integer, Boolean> proven = new HashMap<>();
+        int results = 0;
+        int claimed = 0;
+        for (String name : events.split(" ")) {
+            int number = name.charAt(name.length() - 1) - '0';
+            boolean proof = name.startsWith("notSent") || name.startsWith("notRun");
+            if (sent.contains(number)) {
+                proven.putIfAbsent(number, proof);
+            }
+            for (PlanAction action : plan.on(EVENTS.get(name))) {
+                String label = label(action);
+                boolean allProven = sent.stream().allMatch(i -> proven.getOrDefault(i, false));
+                if (label.startsWith("send") && !kind.equals("get") && !kind.equals("watch")) {
+                    assertWithMessage(events + ": sent twice").that(allProven).isTrue();
+                }
+                if (label.contains("not-run") || label.equals("release") && claimed > 0) {
+                    assertWithMessage(events + ": " + label).that(allProven).isTrue();
+                }
+                if (action instanceof PlanAction.Send send) {
+                    sent.add(send.attempt());
+                }
+                results += label.matches("refuse.*|end|abort") ? 1 : 0;
+            }
+            claimed += name.equals("granted") ? 1 : 0;
+        }
+        assertWithMessage(events + ": results").that(results).isAtMost(1);
+    }
+
+    private RequestPlan plan(String kind) {
+        return plan(kind, new RetryBudget(0.1, 10));
+    }
+
+    private RequestPlan plan(String kind, RetryBudget retries) {
+        boolean idempotent = kind.equals("get") || kind.equals("watch");
+        RequestRules rules =
+                new RequestRules(
+                        idempotent,
+                        kind.equals("keyed"),
+                        kind.equals("watch"),
+                        mClock.monotonicNanos() + 10 * SECOND);
+        HedgePolicy hedges = new HedgePolicy(new RetryBudget(0.05, 10), 0.95);
+        return new RequestPlan(rules, mPool, retries, hedges, mClock);
+    }
+
+    private static String run(RequestPlan plan, String events) {
+        List<String> actions = new ArrayList<>();
+        for (String name : events.trim().split(" ")) {
+            PlanEvent event = EVENTS.get(name);
+            assertWithMessage(name).that(event).isNotNull();
+            plan.on(event).forEach(action -> actions.add(label(action)));
+        }
+        return String.join(" ", actions);
+    }
+
+    private static String label(PlanAction action) {
+        return switch (action) {
+            case PlanAction.Claim claim -> "claim" + claim.agent();
+            case PlanAction.ReleaseClaim release -> "release";
+            case PlanAction.Send send -> "send" + send.attempt() + send.upstream().agent();
+            case PlanAction.Replay replay -> "replay" + replay.attempt() + replay.agent();
+            case PlanAction.Cancel cancel -> "cancel" + cancel.attempt();
+            case PlanAction.SetHedgeTimer timer -> "hedgeTimer";
+            case PlanAction.SetResumeTimer timer -> "timer";
+            case PlanAction.ForwardHead head -> "head" + head.attempt();
+            case PlanAction.ForwardBody body -> "body" + body.attempt();
+            case PlanAction.EndAnswer end -> "end";
+            case PlanAction.AbortAnswer abort -> "abort";
+            case PlanAction.Refuse refuse ->
+                    "refuse" + refuse.kind().status() + refuse.outcome().label();
+        };
+    }
+}
