--- a/scheduling/src/main/java/org/knapweedbank/scheduling/SchedulingDecision.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/SchedulingDecision.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.scheduling;
 
+import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
 
@@ -10,8 +11,10 @@
      *
      * @param task the task
      * @param vm the VM
+     * @param reserved resources that the ledger holds for the task on the VM, which the agent
+     *     reserves as well; corrected by the usage of the task's class
      */
-    record Place(PendingTask task, VmId vm) implements SchedulingDecision {}
+    record Place(PendingTask task, VmId vm, Resources reserved) implements SchedulingDecision {}
 
     /**
      * Checkpoint a batch task and stop it, so that an urgent task can start.
@@ -23,7 +26,7 @@
     record Preempt(TaskId victim, VmId vm, TaskId beneficiary) implements SchedulingDecision {}
 
     /**
-     * The task can never run in this partition.
+     * The task can never run in this partition; it has left its queue.
      *
      * @param task the task
      * @param reason a sentence on which an operator can act
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/TaskScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/TaskScheduler.java
@@ -5,6 +5,7 @@
 import java.util.Set;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
 
@@ -71,6 +72,25 @@
      */
     void adopt(PendingTask task, VmId vm);
 
+    /**
+     * Enters a task in the ledger that already runs with reserved resources that differ from the
+     * declared ones.
+     *
+     * @param task the task
+     * @param vm VM that holds it
+     * @param reserved resources that the agent has reserved for it
+     */
+    void adopt(PendingTask task, VmId vm, Resources reserved);
+
+    /**
+     * Tells whether all VMs of the partition have had time to register. While false, no task is
+     * reported as never fitting, because a VM that has not registered yet may hold it. True at
+     * first.
+     *
+     * @param complete false after a change of owner until the sessions are known
+     */
+    void setFleetComplete(boolean complete);
+
     /**
      * Frees the resources of a task in the ledger; no effect if it is not there.
      *
--- /dev/null
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/interference/package-info.java
@@ -0,0 +1,2 @@
+/** Interference between tasks that share a VM. */
+package org.knapweedbank.scheduling.interference;
--- /dev/null
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/placement/package-info.java
@@ -0,0 +1,2 @@
+/** Capacity ledger, indexes and choice of a VM. */
+package org.knapweedbank.scheduling.placement;
--- /dev/null
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/quarantine/package-info.java
@@ -0,0 +1,2 @@
+/** Evidence against workers that fail tasks. */
+package org.knapweedbank.scheduling.quarantine;
--- /dev/null
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/quota/package-info.java
@@ -0,0 +1,2 @@
+/** Quotas, pending queues and preemption. */
+package org.knapweedbank.scheduling.quota;
