--- /dev/null
+++ b/control/src/main/java/org/knapweedbank/control/JournalCodec.java
@@ -0,0 +1,83 @@
+package org.knapweedbank.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.ObjectWriter;
+import java.io.IOException;
+import java.util.List;
+import org.msgpack.jackson.dataformat.MessagePackMapper;
+
+/** Encodes journal records and snapshots as MessagePack. */
+public final class JournalCodec {
+    private static final ObjectMapper MAPPER = new MessagePackMapper();
+    private static final ObjectReader READER = MAPPER.readerFor(JournalRecord.class);
+    private static final ObjectWriter WRITER = MAPPER.writerFor(JournalRecord.class);
+    private static final TypeReference<List<JournalRecord>> RECORDS = new TypeReference<>() {};
+    private static final ObjectWriter LIST_WRITER = MAPPER.writerFor(RECORDS);
+    private static final ObjectReader LIST_READER = MAPPER.readerFor(RECORDS);
+
+    private JournalCodec() {}
+
+    /**
+     * Encodes a record.
+     *
+     * @param record the record
+     * @return the bytes
+     */
+    public static byte[] encode(JournalRecord record) {
+        return write(WRITER, record);
+    }
+
+    /**
+     * Decodes a record.
+     *
+     * @param bytes the bytes
+     * @return the record
+     * @throws JournalFormatException when the bytes are not a record
+     */
+    public static JournalRecord decode(byte[] bytes) {
+        try {
+            return READER.readValue(bytes);
+        } catch (IOException e) {
+            throw new JournalFormatException("journal record cannot be decoded", e);
+        }
+    }
+
+    /**
+     * Encodes a snapshot.
+     *
+     * @param records one record for each job
+     * @return the bytes
+     */
+    public static byte[] encodeSnapshot(List<JournalRecord> records) {
+        return write(LIST_WRITER, records);
+    }
+
+    /**
+     * Decodes a snapshot.
+     *
+     * @param bytes the bytes; an empty array is the empty snapshot
+     * @return its records
+     * @throws JournalFormatException when the bytes are not a snapshot
+     */
+    public static List<JournalRecord> decodeSnapshot(byte[] bytes) {
+        if (bytes.length == 0) {
+            return List.of();
+        }
+        try {
+            return LIST_READER.readValue(bytes);
+        } catch (IOException e) {
+            throw new JournalFormatException("snapshot cannot be decoded", e);
+        }
+    }
+
+    private static byte[] write(ObjectWriter writer, Object value) {
+        try {
+            return writer.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a record of this process cannot be encoded", e);
+        }
+    }
+}
--- /dev/null
+++ b/control/src/main/java/org/knapweedbank/control/VmSession.java
@@ -0,0 +1,129 @@
+package org.knapweedbank.control;
+
+import java.time.Duration;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.model.VmId;
+import org.knapweedbank.scheduling.VmDescription;
+import org.knapweedbank.wire.Heartbeat;
+
+/**
+ * Session of one worker VM as its partition's owner sees it. The owner assumes the end of all
+ * leases of the VM only at {@link #expiresAtNanos()}.
+ */
+final class VmSession {
+    private final VmId mVm;
+    private DataCentreId mDataCentre;
+    private String mRack = "";
+    private Resources mCapacity = Resources.NONE;
+    private AgentSession mConnection;
+    private long mHeartbeatSeq;
+    private long mHeartbeatNanos;
+    private long mTaskDigest;
+    private long mExpiresAtNanos;
+    private long mListRequestedNanos;
+    private boolean mListRequested;
+
+    /** Creates the session of a VM that has not been heard of since the takeover. */
+    VmSession(VmId vm, long expiresAtNanos) {
+        mVm = vm;
+        mExpiresAtNanos = expiresAtNanos;
+    }
+
+    void connect(
+            AgentSession connection,
+            String rack,
+            Resources capacity,
+            long nowNanos,
+            Duration expiry) {
+        mConnection = connection;
+        mDataCentre = connection.dataCentre();
+        mRack = rack;
+        mCapacity = capacity;
+        mHeartbeatSeq = 0;
+        mListRequested = false;
+        renew(nowNanos, expiry);
+    }
+
+    void disconnect() {
+        mConnection = null;
+    }
+
+    /** Records a heartbeat; false if it is older than the last one. */
+    boolean heartbeat(Heartbeat heartbeat, long nowNanos) {
+        if (heartbeat.seq() <= mHeartbeatSeq) {
+            return false;
+        }
+        mHeartbeatSeq = heartbeat.seq();
+        mHeartbeatNanos = nowNanos;
+        mTaskDigest = heartbeat.taskDigest();
+        return true;
+    }
+
+    /** Extends the assumed end of the leases; called before the acknowledgement is sent. */
+    void renew(long nowNanos, Duration expiry) {
+        mExpiresAtNanos = Math.max(mExpiresAtNanos, nowNanos + expiry.toNanos());
+    }
+
+    void requestList(long nowNanos) {
+        mListRequested = true;
+        mListRequestedNanos = nowNanos;
+    }
+
+    void listReceived() {
+        mListRequested = false;
+    }
+
+    VmDescription description() {
+        return new VmDescription(mVm, mDataCentre, mRack, mCapacity);
+    }
+
+    VmId vm() {
+        return mVm;
+    }
+
+    DataCentreId dataCentre() {
+        return mDataCentre;
+    }
+
+    Resources capacity() {
+        return mCapacity;
+    }
+
+    AgentSession connection() {
+        return mConnection;
+    }
+
+    boolean isConnected() {
+        return mConnection != null;
+    }
+
+    /** True once a session was opened under this owner. */
+    boolean isKnown() {
+        return mDataCentre != null;
+    }
+
+    long heartbeatSeq() {
+        return mHeartbeatSeq;
+    }
+
+    long heartbeatNanos() {
+        return mHeartbeatNanos;
+    }
+
+    long taskDigest() {
+        return mTaskDigest;
+    }
+
+    long expiresAtNanos() {
+        return mExpiresAtNanos;
+    }
+
+    boolean isListRequested() {
+        return mListRequested;
+    }
+
+    long listRequestedNanos() {
+        return mListRequestedNanos;
+    }
+}
