Add the frame codec, connection, server and client

Daemons need a common transport before entry, control and agent can be connected. The codec maps each message to a type byte and a MessagePack array. FrameServer and FrameClient negotiate the version with time limits. The write queue of a connection is bounded at 4 MiB; a rejection is counted. A bad frame closes only its own connection.

--- /dev/null
+++ b/wire/src/test/java/org/knapweedbank/wire/FrameConnectionTest.java
@@ -0,0 +1,210 @@
+package org.knapweedbank.wire;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.CompositeException;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+
+class FrameConnectionTest {
+    private static final Hello HELLO =
+            new Hello(DaemonRole.AGENT, new DaemonId("agent-1"), 3, new DataCentreId("a"), 1, 1);
+    private static final FrameTimeouts SHORT =
+            new FrameTimeouts(Duration.ofSeconds(2), Duration.ofMillis(50));
+
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final BlockingQueue<FrameConnection> mAccepted = new LinkedBlockingQueue<>();
+    private final BlockingQueue<Message> mReceived = new LinkedBlockingQueue<>();
+    private Vertx mVertx;
+
+    @BeforeEach
+    void open() {
+        mVertx = Vertx.vertx();
+    }
+
+    @AfterEach
+    void close() {
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    /** Guards against messages lost between the negotiation and the setting of the handler. */
+    @Test
+    void negotiatesAndCarriesMessagesInOrder() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        FrameConnection client =
+                client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
+        FrameConnection server = take(mAccepted);
+        assertThat(server.hello()).isEqualTo(HELLO);
+        assertThat(client.welcome().daemon()).isEqualTo(new DaemonId("entry-1"));
+        for (long id = 0; id < 100; id++) {
+            assertThat(client.send(new Cancel(id))).isTrue();
+        }
+        server.messageHandler(mReceived::add);
+        for (long id = 0; id < 100; id++) {
+            assertThat(take(mReceived)).isEqualTo(new Cancel(id));
+        }
+        TrafficCounters counters = new TrafficCounters(mRegistry);
+        assertThat(counters.bytes(Traffic.DATA)).isGreaterThan(0L);
+        assertThat(counters.bytes(Traffic.CONTROL)).isGreaterThan(0L);
+    }
+
+    /** Guards against one bad connection disturbing another. */
+    @Test
+    void malformedFrameClosesOnlyItsConnection() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        FrameConnection good = client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
+        take(mAccepted).messageHandler(mReceived::add);
+        for (Buffer bad : List.of(Buffer.buffer("GET / HTTP/1.1\r\n"), oversized(), badType())) {
+            NetSocket socket = raw(port);
+            CompletableFuture<Void> closed = new CompletableFuture<>();
+            socket.closeHandler(ignored -> closed.complete(null));
+            socket.write(bad);
+            closed.get(10, TimeUnit.SECONDS);
+        }
+        assertThat(new TrafficCounters(mRegistry).malformed()).isEqualTo(3);
+        assertThat(good.send(new Cancel(1))).isTrue();
+        assertThat(take(mReceived)).isEqualTo(new Cancel(1));
+    }
+
+    /** Guards against a peer without a common version being accepted. */
+    @Test
+    void refusesVersionsWithoutOverlap() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        Hello newer = new Hello(DaemonRole.AGENT, HELLO.daemon(), 3, HELLO.dataCentre(), 2, 4);
+        FrameException e = connectFailure(port, newer, FrameTimeouts.DEFAULT);
+        assertThat(e.kind()).isEqualTo(FrameException.Kind.HANDSHAKE);
+        assertThat(e).hasMessageThat().contains("no common protocol version");
+        assertThat(mAccepted).isEmpty();
+    }
+
+    /** Guards against a silent peer holding a connection for ever. */
+    @Test
+    void closesConnectionWithoutHello() throws Exception {
+        int port = listen(SHORT);
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        raw(port).closeHandler(ignored -> closed.complete(null));
+        closed.get(10, TimeUnit.SECONDS);
+        assertThat(mAccepted).isEmpty();
+    }
+
+    /** Guards against a client that waits for ever on a peer that accepts and stays silent. */
+    @Test
+    void clientGivesUpWithoutWelcome() throws Exception {
+        int port =
+                mVertx.createNetServer()
+                        .connectHandler(socket -> {})
+                        .listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .join()
+                        .actualPort();
+        FrameException e = connectFailure(port, HELLO, SHORT);
+        assertThat(e.kind()).isEqualTo(FrameException.Kind.HANDSHAKE);
+    }
+
+    /** Guards against an unreachable peer being reported as anything but a connect failure. */
+    @Test
+    void reportsRefusedConnection() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        FrameServer second = server(FrameTimeouts.DEFAULT);
+        int free = second.listen("127.0.0.1", 0, c -> {}).await().indefinitely();
+        second.close().await().indefinitely();
+        assertThat(connectFailure(free, HELLO, FrameTimeouts.DEFAULT).kind())
+                .isEqualTo(FrameException.Kind.CONNECT);
+        assertThat(port).isNotEqualTo(free);
+    }
+
+    /** Guards against unbounded memory when a peer does not read. */
+    @Test
+    void rejectsWhenWriteQueueIsFull() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        FrameConnection client =
+                client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
+        take(mAccepted);
+        ResponseChunk chunk = new ResponseChunk(1, 0, new byte[512 * 1024]);
+        List<Boolean> sent = new ArrayList<>();
+        while (sent.size() < 1000 && !sent.contains(false)) {
+            sent.add(client.send(chunk));
+        }
+        assertThat(sent).contains(false);
+        assertThat(client.writable()).isFalse();
+        assertThat(new TrafficCounters(mRegistry).rejected()).isEqualTo(1);
+        assertThat(client.isOpen()).isTrue();
+    }
+
+    /** Guards against a close that the peer does not notice, or a lost reason. */
+    @Test
+    void goodbyeArrivesBeforeTheClose() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        FrameConnection client =
+                client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
+        FrameConnection server = take(mAccepted);
+        CompletableFuture<Void> closed = new CompletableFuture<>();
+        server.messageHandler(mReceived::add);
+        server.closeHandler(() -> closed.complete(null));
+        client.close("done");
+        assertThat(take(mReceived)).isEqualTo(new Goodbye("done"));
+        closed.get(10, TimeUnit.SECONDS);
+        assertThat(server.send(new Cancel(1))).isFalse();
+    }
+
+    private FrameException connectFailure(int port, Hello hello, FrameTimeouts timeouts) {
+        FrameClient client = new FrameClient(mVertx, timeouts, mRegistry);
+        Exception e =
+                assertThrows(
+                        CompletionException.class,
+                        () -> client.connect("127.0.0.1", port, hello).await().indefinitely());
+        assertThat(e).isNotInstanceOf(CompositeException.class);
+        return (FrameException) e.getCause();
+    }
+
+    private int listen(FrameTimeouts timeouts) {
+        return server(timeouts).listen("127.0.0.1", 0, mAccepted::add).await().indefinitely();
+    }
+
+    private FrameServer server(FrameTimeouts timeouts) {
+        return new FrameServer(mVertx, new DaemonId("entry-1"), 8, timeouts, mRegistry);
+    }
+
+    private FrameClient client() {
+        return new FrameClient(mVertx, FrameTimeouts.DEFAULT, mRegistry);
+    }
+
+    private NetSocket raw(int port) {
+        return mVertx.createNetClient()
+                .connect(port, "127.0.0.1")
+                .toCompletionStage()
+                .toCompletableFuture()
+                .join();
+    }
+
+    private static Buffer oversized() {
+        return Buffer.buffer().appendInt(FrameCodec.MAX_FRAME).appendByte((byte) 1);
+    }
+
+    private static Buffer badType() {
+        return Buffer.buffer().appendInt(3).appendBytes(new byte[] {1, (byte) 0xee, (byte) 0x90});
+    }
+
+    private static <T> T take(BlockingQueue<T> queue) throws InterruptedException {
+        T value = queue.poll(10, TimeUnit.SECONDS);
+        assertThat(value).isNotNull();
+        return value;
+    }
+}
