--- /dev/null
+++ b/entry/src/main/java/org/knapweedbank/entry/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP listener for callers. */
+package org.knapweedbank.entry.http;
