--- a/wire/src/main/java/org/knapweedbank/wire/Message.java
+++ b/wire/src/main/java/org/knapweedbank/wire/Message.java
@@ -34,6 +34,7 @@
                 NotRun,
                 OutcomeUnknown,
                 StreamMoved,
+                AnswerQuery,
                 UpstreamDelta,
                 StatusQuery,
                 StatusReply,
--- a/wire/src/main/java/org/knapweedbank/wire/MessageType.java
+++ b/wire/src/main/java/org/knapweedbank/wire/MessageType.java
@@ -68,7 +68,9 @@
     /** Frame of {@link OutcomeUnknown}. */
     OUTCOME_UNKNOWN(0x46, OutcomeUnknown.class, Traffic.DATA),
     /** Frame of {@link StreamMoved}. */
-    STREAM_MOVED(0x47, StreamMoved.class, Traffic.DATA);
+    STREAM_MOVED(0x47, StreamMoved.class, Traffic.DATA),
+    /** Frame of {@link AnswerQuery}. */
+    ANSWER_QUERY(0x48, AnswerQuery.class, Traffic.DATA);
 
     private static final MessageType[] BY_CODE = byCode();
     private static final Map<Class<?>, MessageType> BY_CLASS =
--- a/wire/src/test/java/org/knapweedbank/wire/SampleMessages.java
+++ b/wire/src/test/java/org/knapweedbank/wire/SampleMessages.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.wire;
 
 import java.util.List;
+import java.util.stream.Stream;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.Resources;
@@ -22,8 +23,10 @@
     private SampleMessages() {}
 
     static List<Message> all() {
-        List<HeaderField> headers = List.of(new HeaderField("Accept", "text/plain, \u00e9"));
-        byte[] bytes = {0, 1, (byte) 0xff};
+        return Stream.concat(control().stream(), data().stream()).toList();
+    }
+
+    private static List<Message> control() {
         return List.of(
                 new Hello(DaemonRole.AGENT, DAEMON, 5, DATA_CENTRE, 1, 1),
                 new Welcome(DAEMON, 9, 1),
@@ -57,7 +60,13 @@
                 new TaskReport(11, TASK, 3, TaskReportState.FAILED, "exit 1"),
                 new ReportAck(TASK, 3, TaskReportState.FAILED),
                 new ConfigPush(3, List.of(DATA_CENTRE), "{}"),
-                new ConfigAck(DAEMON, 3),
+                new ConfigAck(DAEMON, 3));
+    }
+
+    private static List<Message> data() {
+        List<HeaderField> headers = List.of(new HeaderField("Accept", "text/plain, \u00e9"));
+        byte[] bytes = {0, 1, (byte) 0xff};
+        return List.of(
                 new Request(
                         1L << 40, "a-1", "key", false, "preview", "POST", "/x?y=1", headers, bytes,
                         10_000, true, "c-1"),
@@ -68,6 +77,7 @@
                 new NotRun(1, "queue is full", LOAD),
                 new OutcomeUnknown(1, "connection broke", LOAD),
                 new StreamMoved(1),
+                new AnswerQuery(2, "a-1", "preview", "key", 10_000),
                 new UpstreamDelta(
                         2,
                         11,
