--- /dev/null
+++ b/config/src/main/java/org/knapweedbank/config/ChangeRequest.java
@@ -0,0 +1,17 @@
+package org.knapweedbank.config;
+
+import java.util.OptionalLong;
+
+/**
+ * Who wants a change, and on which generation.
+ *
+ * @param operator name of the operator
+ * @param expect generation that the operator saw, 0 for none; empty if the change does not depend
+ *     on it
+ * @param change identifier of the change given by the client, by which a repeat is recognized, or
+ *     empty
+ * @param allowNoDataCentre true if the operator confirmed that no data centre may be left in
+ *     service
+ */
+public record ChangeRequest(
+        String operator, OptionalLong expect, String change, boolean allowNoDataCentre) {}
