Serve callers over data connections to agents

The request plan needs an I/O layer: the caller listener checks requests and reports the outcome in problem documents, CallerExchange carries out the plan's actions, AgentConnection matches answers by id. A used key asks the agent that held it with AnswerQuery.

The contract test found two faults: repeated header names were counted once, and a stream could return to the upstream that had just moved it. Both are fixed; StreamMoved now marks the upstream as leaving.

--- a/entry/src/main/java/org/knapweedbank/entry/http/CallerExchange.java
+++ b/entry/src/main/java/org/knapweedbank/entry/http/CallerExchange.java
@@ -26,6 +26,7 @@
 import org.knapweedbank.routing.RequestPlan;
 import org.knapweedbank.routing.RequestRules;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.wire.AnswerQuery;
 import org.knapweedbank.wire.HeaderField;
 import org.knapweedbank.wire.Request;
 import org.knapweedbank.wire.ResponseHead;
@@ -67,6 +68,7 @@
     private long mResumeTimer = -1;
     private long mSlowTimer = -1;
     private int mForwarding;
+    private Runnable mOnEnd = () -> {};
 
     /**
      * What all requests of an entry share.
@@ -235,12 +237,23 @@
         call.ifPresent(open -> mCalls.put(attempt, open));
     }
 
-    /**
-     * The wire protocol has no message that reads a recorded answer without running the request, so
-     * the outcome of a used key is always reported as unknown.
-     */
     private void replay(PlanAction.Replay replay) {
-        apply(new PlanEvent.OutcomeUnknown(replay.attempt(), "the key has been used before"));
+        int attempt = replay.attempt();
+        long left = mRules.deadlineNanos() - mParts.clock().monotonicNanos();
+        mParts.routing()
+                .query(
+                        mRequest.service(),
+                        replay.agent(),
+                        attempt,
+                        new Frames(attempt),
+                        id ->
+                                new AnswerQuery(
+                                        id,
+                                        replay.attemptId(),
+                                        mRequest.service(),
+                                        mRequest.idempotencyKey(),
+                                        Math.max(1, left / 1_000_000)))
+                .ifPresent(open -> mCalls.put(attempt, open));
     }
 
     private Request message(long id, int attempt, boolean resume) {
@@ -383,8 +396,6 @@
         mOnEnd.run();
     }
 
-    private Runnable mOnEnd = () -> {};
-
     /** Sets what runs once when the request has ended. */
     void onEnd(Runnable action) {
         mOnEnd = action;
--- a/entry/src/main/java/org/knapweedbank/entry/http/CallerRequestParser.java
+++ b/entry/src/main/java/org/knapweedbank/entry/http/CallerRequestParser.java
@@ -166,10 +166,12 @@
 
     private void checkLimits(MultiMap headers) throws InvalidRequestException {
         long bytes = 0;
+        int count = 0;
         for (Map.Entry<String, String> header : headers) {
             bytes += header.getKey().length() + header.getValue().length();
+            count++;
         }
-        if (headers.size() > mLimits.maxHeaderCount() || bytes > mLimits.maxHeaderBytes()) {
+        if (count > mLimits.maxHeaderCount() || bytes > mLimits.maxHeaderBytes()) {
             throw new InvalidRequestException(
                     Problem.notRun(
                             431,
--- a/entry/src/main/java/org/knapweedbank/entry/upstream/AgentConnection.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/AgentConnection.java
@@ -18,7 +18,6 @@
 import org.knapweedbank.wire.Message;
 import org.knapweedbank.wire.NotRun;
 import org.knapweedbank.wire.OutcomeUnknown;
-import org.knapweedbank.wire.Request;
 import org.knapweedbank.wire.ResponseChunk;
 import org.knapweedbank.wire.ResponseEnd;
 import org.knapweedbank.wire.ResponseHead;
@@ -72,6 +71,13 @@
          */
         void load(AgentCall call, LoadReport load);
 
+        /**
+         * The upstream moves its streams, so it is leaving; its announcement may arrive later.
+         *
+         * @param call call that was moved
+         */
+        void leaving(AgentCall call);
+
         /** A frame has arrived that belongs to no open call. */
         void lateFrame();
     }
@@ -122,13 +128,14 @@
     }
 
     /**
-     * Sends a request. When nothing could be written, the listener is told {@code NotSent}.
+     * Sends a request or query. When nothing could be written, the listener is told {@code
+     * NotSent}.
      *
      * @param call attempt, upstream and listener; connection and id are set here
      * @param request builds the message for an id
      * @return the call as registered
      */
-    AgentCall send(AgentCall call, LongFunction<Request> request) {
+    AgentCall send(AgentCall call, LongFunction<Message> request) {
         long id = ++mNextId;
         AgentCall registered =
                 new AgentCall(
@@ -226,11 +233,7 @@
             case NotRun notRun -> with(notRun.id(), true, (call, id) -> notRun(call, notRun));
             case OutcomeUnknown unknown ->
                     with(unknown.id(), true, (call, id) -> unknown(call, unknown));
-            case StreamMoved moved ->
-                    with(
-                            moved.id(),
-                            true,
-                            (call, id) -> call.listener().event(new PlanEvent.StreamMoved(id)));
+            case StreamMoved moved -> with(moved.id(), true, (call, id) -> moved(call));
             default ->
                     LOG.warn(
                             "[entry] agent {} sent an unexpected {}",
@@ -260,6 +263,11 @@
         call.listener().event(new PlanEvent.NotRun(call.attempt(), notRun.reason(), failure));
     }
 
+    private void moved(AgentCall call) {
+        mListener.leaving(call);
+        call.listener().event(new PlanEvent.StreamMoved(call.attempt()));
+    }
+
     private void unknown(AgentCall call, OutcomeUnknown unknown) {
         mListener.load(call, unknown.load());
         call.listener().event(new PlanEvent.OutcomeUnknown(call.attempt(), unknown.reason()));
--- a/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
@@ -32,7 +32,7 @@
 import org.knapweedbank.wire.FrameTimeouts;
 import org.knapweedbank.wire.Hello;
 import org.knapweedbank.wire.LoadReport;
-import org.knapweedbank.wire.Request;
+import org.knapweedbank.wire.Message;
 import org.knapweedbank.wire.UpstreamRecord;
 
 /**
@@ -186,7 +186,7 @@
             UpstreamId upstream,
             int attempt,
             AttemptListener listener,
-            LongFunction<Request> request) {
+            LongFunction<Message> request) {
         UpstreamKey key = new UpstreamKey(upstream.agent(), service, upstream.address());
         UpstreamRecord record = mRecords.get(key);
         AgentConnection connection =
@@ -200,18 +200,48 @@
     }
 
     /**
-     * Finds an upstream of a service by its agent.
+     * Sends a query for a recorded answer to an agent.
      *
      * @param service the service
      * @param agent identifier of the agent
-     * @return an upstream of the service at the agent, or empty
+     * @param attempt number of the attempt
+     * @param listener receives what happens; told at once when nothing could be written
+     * @param query builds the message for an id
+     * @return the call, or empty when the agent is not known
      */
-    public Optional<UpstreamId> upstreamAt(String service, String agent) {
-        return mRecords.keySet().stream()
-                .filter(key -> key.service().equals(service))
-                .filter(key -> key.agent().value().equals(agent))
-                .map(UpstreamKey::id)
-                .findFirst();
+    public Optional<AgentCall> query(
+            String service,
+            String agent,
+            int attempt,
+            AttemptListener listener,
+            LongFunction<Message> query) {
+        AgentConnection connection =
+                mRecords.values().stream()
+                        .filter(record -> record.agent().value().equals(agent))
+                        .map(record -> mConnections.get(record.agentAddress()))
+                        .findFirst()
+                        .orElse(null);
+        if (connection == null) {
+            listener.event(new PlanEvent.NotSent(attempt, "the agent is not known"));
+            return Optional.empty();
+        }
+        AgentCall call = new AgentCall(connection, 0, attempt, null, service, listener);
+        return Optional.of(connection.send(call, query));
+    }
+
+    /**
+     * Number of upstreams that can take work.
+     *
+     * @param service the service
+     * @return the count
+     */
+    public int available(String service) {
+        UpstreamSelector selector = service(service).selector();
+        return (int)
+                mRecords.keySet().stream()
+                        .filter(key -> key.service().equals(service))
+                        .filter(key -> selector.available(key.id()))
+                        .count();
     }
 
     /** Closes all connections. */
@@ -258,6 +288,13 @@
                                 load.leaving()));
     }
 
+    @Override
+    public void leaving(AgentCall call) {
+        if (call.upstream() != null) {
+            service(call.service()).selector().leaving(call.upstream());
+        }
+    }
+
     @Override
     public void lateFrame() {
         mLateFrames.inc();
--- a/routing/src/main/java/org/knapweedbank/routing/UpstreamSelector.java
+++ b/routing/src/main/java/org/knapweedbank/routing/UpstreamSelector.java
@@ -113,6 +113,18 @@
         mRemoved = Set.copyOf(removed);
     }
 
+    /**
+     * Marks an upstream as leaving until it is announced again.
+     *
+     * @param id the upstream
+     */
+    public void leaving(UpstreamId id) {
+        Upstream upstream = mUpstreams.get(id);
+        if (upstream != null) {
+            upstream.mLeaving = true;
+        }
+    }
+
     /**
      * Takes over a load report.
      *
