--- a/control/src/main/java/org/knapweedbank/control/ControlSettings.java
+++ b/control/src/main/java/org/knapweedbank/control/ControlSettings.java
@@ -56,8 +56,8 @@
     }
 
     /**
-     * Time after the last acknowledged heartbeat at which all leases of a VM have ended: the session
-     * and then the task leases at the worker, both with the drift margin.
+     * Time after the last acknowledged heartbeat at which all leases of a VM have ended: the
+     * session and then the task leases at the worker, both with the drift margin.
      *
      * @return the time
      */
--- a/control/src/main/java/org/knapweedbank/control/PartitionController.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionController.java
@@ -42,6 +42,7 @@
 import org.knapweedbank.wire.StartPermit;
 import org.knapweedbank.wire.StartTask;
 import org.knapweedbank.wire.StopTask;
+import org.knapweedbank.wire.TaskDigest;
 import org.knapweedbank.wire.TaskHeld;
 import org.knapweedbank.wire.TaskList;
 import org.knapweedbank.wire.TaskListRequest;
@@ -65,6 +66,9 @@
     /** A VM whose last heartbeat is older takes no new tasks until the next one. */
     private static final long HEARTBEAT_LIMIT_NANOS = 1_500_000_000L;
 
+    /** Time that a command may take to show in the digest of a heartbeat. */
+    private static final long SETTLE_NANOS = 2_000_000_000L;
+
     /** Interval at which a command without a visible effect is sent again. */
     private static final long RESEND_NANOS = 10_000_000_000L;
 
@@ -155,8 +159,7 @@
                         .filter(spec -> Partitions.ofJob(configuration, spec.id()) == mPartition)
                         .toList();
         own.forEach(this::submitConfigured);
-        Set<JobId> listed =
-                own.stream().map(JobSpec::id).collect(Collectors.toSet());
+        Set<JobId> listed = own.stream().map(JobSpec::id).collect(Collectors.toSet());
         List.copyOf(mState.jobs()).stream()
                 .filter(job -> job.isFromConfiguration() && job.isService())
                 .filter(job -> !job.isCancelled() && !listed.contains(job.id()))
@@ -303,8 +306,7 @@
         Resources before = session.capacity();
         session.connect(connection, open.rack(), open.capacity(), now, mSettings.vmExpiry());
         connection.granted(mPartition, mEpoch);
-        connection.send(
-                new SessionGrant(mPartition, mEpoch, mSettings.sessionTtl().toMillis()));
+        connection.send(new SessionGrant(mPartition, mEpoch, mSettings.sessionTtl().toMillis()));
         mScheduler.putVm(session.description());
         if (first) {
             mState.tasksOn(open.vm())
@@ -376,14 +378,26 @@
                 .orElse(0L);
     }
 
+    /** Asks for the whole list when the digest differs while no command is under way. */
     private void checkDigest(VmSession session, long now) {
-        boolean overdue =
-                mState.tasksOn(session.vm()).stream().anyMatch(task -> startOverdue(task, now));
-        if (overdue && !session.isListRequested()) {
+        Set<TaskEntry> tasks = mState.tasksOn(session.vm());
+        boolean overdue = tasks.stream().anyMatch(task -> startOverdue(task, now));
+        boolean settled = tasks.stream().allMatch(task -> now - task.commandNanos() > SETTLE_NANOS);
+        boolean differs = settled && session.taskDigest() != digest(tasks);
+        boolean twice = differs && session.digestDiffers();
+        session.setDigestDiffers(differs && !twice);
+        if ((overdue || twice) && !session.isListRequested()) {
             requestList(session, now);
         }
     }
 
+    private static long digest(Set<TaskEntry> tasks) {
+        return tasks.stream()
+                .filter(TaskEntry::isActive)
+                .mapToLong(task -> TaskDigest.of(task.id(), task.attempt()))
+                .sum();
+    }
+
     private boolean startOverdue(TaskEntry task, long now) {
         boolean starting =
                 task.state() instanceof TaskLifecycle.Starting
@@ -408,10 +422,7 @@
     }
 
     /** Compares the attempts that a VM holds with those that the journal has placed there. */
-    private void reconcile(
-            VmSession session,
-            List<TaskHeld> held,
-            Predicate<TaskEntry> expected) {
+    private void reconcile(VmSession session, List<TaskHeld> held, Predicate<TaskEntry> expected) {
         Map<TaskId, TaskHeld> byTask = new HashMap<>();
         held.forEach(task -> byTask.merge(task.task(), task, PartitionController::newer));
         mState.tasksOn(session.vm()).stream()
@@ -489,7 +500,8 @@
 
     /**
      * True while the end of the attempt is on its way to the store. A repeated report must not be
-     * acknowledged before: the agent would forget the end, and a new owner would run the task again.
+     * acknowledged before: the agent would forget the end, and a new owner would run the task
+     * again.
      */
     private boolean isEnding(TaskReport report) {
         return mEnding.getOrDefault(report.task(), 0) == report.attempt();
@@ -730,15 +742,12 @@
                                     send(
                                             session,
                                             task,
-                                            new CheckpointTask(
-                                                    mEpoch, task.id(), task.attempt())));
+                                            new CheckpointTask(mEpoch, task.id(), task.attempt())));
         }
     }
 
     private Optional<VmSession> connectedSession(TaskEntry task) {
-        return Optional.ofNullable(task.vm())
-                .map(mSessions::get)
-                .filter(VmSession::isConnected);
+        return Optional.ofNullable(task.vm()).map(mSessions::get).filter(VmSession::isConnected);
     }
 
     /** Carries out the decisions about interference. */
@@ -774,7 +783,9 @@
 
     // Periodic work
 
-    /** Checks expiries, data centres that leave, and commands without effect; about once a second. */
+    /**
+     * Checks expiries, data centres that leave, and commands without effect; about once a second.
+     */
     void tick() {
         long now = mClock.monotonicNanos();
         drainRemoved();
--- a/control/src/main/java/org/knapweedbank/control/PartitionState.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionState.java
@@ -61,9 +61,11 @@
             case JournalRecord.TaskPlaced placed ->
                     withTask(
                             placed.task(),
-                            task -> change(task, new TaskEvent.Place(placed.attempt(), placed.vm())));
-            case JournalRecord.TaskEnded ended ->
-                    withTask(ended.task(), task -> end(task, ended));
+                            task ->
+                                    change(
+                                            task,
+                                            new TaskEvent.Place(placed.attempt(), placed.vm())));
+            case JournalRecord.TaskEnded ended -> withTask(ended.task(), task -> end(task, ended));
             case JournalRecord.TaskReplaced replaced ->
                     withTask(replaced.task(), task -> replace(task, replaced.successor()));
             case JournalRecord.JobSnapshot snapshot -> restore(snapshot);
@@ -75,8 +77,7 @@
         int attempt = ended.attempt();
         return switch (ended.end()) {
             case FINISHED -> new TaskEvent.AttemptFinished(attempt);
-            case FAILED ->
-                    new TaskEvent.AttemptFailed(attempt, ended.detail(), spec.maxAttempts());
+            case FAILED -> new TaskEvent.AttemptFailed(attempt, ended.detail(), spec.maxAttempts());
             case CHECKPOINTED -> new TaskEvent.AttemptCheckpointed(attempt, ended.detail());
             case STOPPED -> new TaskEvent.AttemptStopped(attempt);
             case NOT_STARTED -> new TaskEvent.NotStarted(attempt, ended.detail());
@@ -133,8 +134,7 @@
     }
 
     private void submit(JournalRecord.JobSubmitted record) {
-        JobEntry job =
-                new JobEntry(record.spec(), record.fromConfiguration(), record.wallMillis());
+        JobEntry job = new JobEntry(record.spec(), record.fromConfiguration(), record.wallMillis());
         mJobs.put(job.id(), job);
         addTasks(job, record.spec().tasks());
     }
--- a/control/src/main/java/org/knapweedbank/control/VmSession.java
+++ b/control/src/main/java/org/knapweedbank/control/VmSession.java
@@ -23,6 +23,7 @@
     private long mExpiresAtNanos;
     private long mListRequestedNanos;
     private boolean mListRequested;
+    private boolean mDigestDiffers;
 
     /** Creates the session of a VM that has not been heard of since the takeover. */
     VmSession(VmId vm, long expiresAtNanos) {
@@ -115,6 +116,15 @@
         return mTaskDigest;
     }
 
+    /** True if the digest of the last heartbeat differed. */
+    boolean digestDiffers() {
+        return mDigestDiffers;
+    }
+
+    void setDigestDiffers(boolean differs) {
+        mDigestDiffers = differs;
+    }
+
     long expiresAtNanos() {
         return mExpiresAtNanos;
     }
--- /dev/null
+++ b/control/src/test/java/org/knapweedbank/control/FakeAgentSession.java
@@ -0,0 +1,71 @@
+package org.knapweedbank.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.wire.Message;
+
+/** Records what the controller sends to an agent. */
+final class FakeAgentSession implements AgentSession {
+    private final DaemonId mAgent;
+    private final DataCentreId mDataCentre;
+    private final List<Message> mSent = new ArrayList<>();
+    private String mClosed = "";
+    private long mGrantedEpoch;
+
+    FakeAgentSession(String agent, String dataCentre) {
+        mAgent = new DaemonId(agent);
+        mDataCentre = new DataCentreId(dataCentre);
+    }
+
+    @Override
+    public DaemonId agent() {
+        return mAgent;
+    }
+
+    @Override
+    public long incarnation() {
+        return 1;
+    }
+
+    @Override
+    public DataCentreId dataCentre() {
+        return mDataCentre;
+    }
+
+    @Override
+    public void send(Message message) {
+        mSent.add(message);
+    }
+
+    @Override
+    public void granted(int partition, long epoch) {
+        mGrantedEpoch = epoch;
+    }
+
+    @Override
+    public void close(String reason) {
+        mClosed = reason;
+    }
+
+    String closed() {
+        return mClosed;
+    }
+
+    long grantedEpoch() {
+        return mGrantedEpoch;
+    }
+
+    <T extends Message> List<T> sent(Class<T> type) {
+        return mSent.stream().filter(type::isInstance).map(type::cast).toList();
+    }
+
+    <T extends Message> T last(Class<T> type) {
+        return sent(type).getLast();
+    }
+
+    void clear() {
+        mSent.clear();
+    }
+}
