--- a/standin/src/test/java/org/knapweedbank/standin/KeyValueStoreContract.java
+++ b/standin/src/test/java/org/knapweedbank/standin/KeyValueStoreContract.java
@@ -22,6 +22,7 @@
 import org.knapweedbank.store.TransactionResult;
 
 /** Contract of the key-value store, for each implementation. */
+@SuppressWarnings("try")
 abstract class KeyValueStoreContract {
     private static final Duration LIMIT = Duration.ofSeconds(10);
 
--- /dev/null
+++ b/standin/src/test/java/org/knapweedbank/store/cache/StorePrefixViewTest.java
@@ -0,0 +1,139 @@
+package org.knapweedbank.store.cache;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.standin.InMemoryStore;
+import org.knapweedbank.standin.StoreCallKind;
+import org.knapweedbank.standin.StoreClient;
+import org.knapweedbank.store.KeyEntry;
+import org.knapweedbank.store.Operation;
+import org.knapweedbank.store.Transaction;
+import org.knapweedbank.time.ManualClock;
+
+class StorePrefixViewTest {
+    private final ManualClock mClock = new ManualClock();
+    private final InMemoryStore mStore = new InMemoryStore(mClock);
+    private final StoreClient mClient = mStore.client();
+    private final StorePrefixView mView = new StorePrefixView(mClient, "/kwb/c/", mClock);
+
+    private void write(Operation... operations) {
+        mStore.transact(Transaction.of(operations)).await().indefinitely();
+    }
+
+    private static Operation put(String key, String value) {
+        return new Operation.Put(key, value.getBytes(StandardCharsets.UTF_8), 0);
+    }
+
+    private String text(String key) {
+        return mView.get(key).map(KeyEntry::text).orElse("absent");
+    }
+
+    /** Guards against a view that misses the first state, changes or deletions. */
+    @Test
+    void followsTheStore() {
+        write(put("/kwb/c/a", "1"), put("/kwb/d", "x"));
+        mView.start();
+        assertThat(text("/kwb/c/a")).isEqualTo("1");
+        write(put("/kwb/c/b", "2"), new Operation.Delete("/kwb/c/a"));
+        assertThat(mView.list("/kwb/c/").stream().map(KeyEntry::key)).containsExactly("/kwb/c/b");
+    }
+
+    /** Guards against a confirmation that advances without an answer, or counts from the answer. */
+    @Test
+    void confirmationIsTheTimeOfTheReadAndStopsWithTheStore() {
+        mClock.advance(Duration.ofSeconds(1));
+        mView.start();
+        assertThat(mView.confirmedNanos()).isEqualTo(mClock.monotonicNanos());
+        long sent = mClock.monotonicNanos();
+        mClient.faults().slow(Duration.ofSeconds(2));
+        mView.confirm();
+        mClock.advance(Duration.ofSeconds(2));
+        mStore.tick();
+        assertThat(mView.confirmedNanos()).isEqualTo(sent);
+        mClient.faults().slow(Duration.ZERO);
+        mClient.faults().down(true);
+        mView.confirm();
+        assertThat(mView.confirmedNanos()).isEqualTo(sent);
+    }
+
+    /** Guards against changes made during an outage that stay unseen after it. */
+    @Test
+    void rereadsAfterAnInterruption() {
+        write(put("/kwb/c/a", "1"), put("/kwb/c/b", "1"));
+        mView.start();
+        mClient.faults().down(true);
+        write(put("/kwb/c/a", "2"), new Operation.Delete("/kwb/c/b"));
+        mStore.compact();
+        assertThat(text("/kwb/c/a")).isEqualTo("1");
+        mClient.faults().down(false);
+        assertThat(text("/kwb/c/a")).isEqualTo("2");
+        assertThat(text("/kwb/c/b")).isEqualTo("absent");
+    }
+
+    /** Guards against a store that is down at the start and never read later. */
+    @Test
+    void startsWhileTheStoreIsDown() {
+        write(put("/kwb/c/a", "1"));
+        mClient.faults().down(true);
+        mView.start();
+        assertThat(mView.confirmedNanos()).isEqualTo(Long.MIN_VALUE);
+        mClient.faults().down(false);
+        assertThat(text("/kwb/c/a")).isEqualTo("1");
+    }
+
+    /** Guards against a late answer to a read that takes the view back. */
+    @Test
+    void lateAnswersDoNotTakeTheViewBack() {
+        write(put("/kwb/c/a", "1"), put("/kwb/c/b", "1"));
+        mView.start();
+        mClient.faults().slow(Duration.ofSeconds(1));
+        mView.confirm();
+        write(put("/kwb/c/a", "2"), new Operation.Delete("/kwb/c/b"), put("/kwb/c/n", "1"));
+        mClock.advance(Duration.ofSeconds(1));
+        mStore.tick();
+        assertThat(text("/kwb/c/a")).isEqualTo("2");
+        assertThat(text("/kwb/c/b")).isEqualTo("absent");
+        assertThat(text("/kwb/c/n")).isEqualTo("1");
+    }
+
+    /** Guards against listeners that are called for other keys, or not after the first read. */
+    @Test
+    void listenersAreCalledForTheirPrefix() {
+        AtomicInteger entries = new AtomicInteger();
+        AtomicInteger config = new AtomicInteger();
+        mView.subscribe("/kwb/c/entry/", entries::incrementAndGet);
+        mView.start();
+        assertThat(entries.get()).isEqualTo(1);
+        mView.subscribe("/kwb/c/config/", config::incrementAndGet);
+        assertThat(config.get()).isEqualTo(1);
+        write(put("/kwb/c/entry/a", "1"));
+        assertThat(entries.get()).isEqualTo(2);
+        assertThat(config.get()).isEqualTo(1);
+        mView.confirm();
+        assertThat(entries.get()).isEqualTo(2);
+    }
+
+    /** Guards against a confirmation that costs more than one read for a small prefix. */
+    @Test
+    void confirmationIsOneRead() {
+        mView.start();
+        long before = mStore.counters().calls(StoreCallKind.READ);
+        mView.confirm();
+        assertThat(mStore.counters().calls(StoreCallKind.READ)).isEqualTo(before + 1);
+        assertThat(mStore.counters().calls(StoreCallKind.WATCH)).isEqualTo(1);
+    }
+
+    /** Guards against a prefix of several pages that is read in part. */
+    @Test
+    void readsAllPages() {
+        for (int i = 0; i < 250; i++) {
+            write(put("/kwb/c/entry/" + i, "1"));
+        }
+        mView.start();
+        assertThat(mView.list("/kwb/c/entry/")).hasSize(250);
+    }
+}
--- a/store/src/main/java/org/knapweedbank/store/Transaction.java
+++ b/store/src/main/java/org/knapweedbank/store/Transaction.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.store;
 
 import java.util.List;
+import java.util.stream.Stream;
 
 /**
  * Atomic conditional change. When all compares hold, the success operations run, otherwise the
@@ -18,4 +19,36 @@
         onSuccess = List.copyOf(onSuccess);
         onFailure = List.copyOf(onFailure);
     }
+
+    /**
+     * A transaction that changes nothing when a condition fails.
+     *
+     * @param compares conditions
+     * @param operations operations when all conditions hold
+     * @return the transaction
+     */
+    public static Transaction when(List<Compare> compares, List<Operation> operations) {
+        return new Transaction(compares, operations, List.of());
+    }
+
+    /**
+     * An unconditional transaction.
+     *
+     * @param operations the operations
+     * @return the transaction
+     */
+    public static Transaction of(Operation... operations) {
+        return new Transaction(List.of(), List.of(operations), List.of());
+    }
+
+    /**
+     * Reads some keys at one revision.
+     *
+     * @param keys the keys
+     * @return the transaction; its results are in the order of the keys
+     */
+    public static Transaction read(String... keys) {
+        List<Operation> reads = Stream.of(keys).<Operation>map(Operation.Get::new).toList();
+        return new Transaction(List.of(), reads, List.of());
+    }
 }
