--- a/entry/src/main/java/org/knapweedbank/entry/ClaimService.java
+++ b/entry/src/main/java/org/knapweedbank/entry/ClaimService.java
@@ -1,27 +1,25 @@
 package org.knapweedbank.entry;
 
 import io.smallrye.mutiny.Uni;
+import org.knapweedbank.store.claim.Claim;
+import org.knapweedbank.store.claim.ClaimRequest;
+import org.knapweedbank.store.claim.ClaimResult;
 
 /** Claims of idempotency keys. The results may arrive on any thread. */
 public interface ClaimService {
     /**
      * Claims a key.
      *
-     * @param service service that the key belongs to
-     * @param key key given by the caller
-     * @param attemptId attempt that claims the key
-     * @param agent agent that is meant to get the request
+     * @param request the key and the attempt
      * @return the result; a failure of the Uni counts as unknown
      */
-    Uni<ClaimResult> claim(String service, String key, String attemptId, String agent);
+    Uni<ClaimResult> claim(ClaimRequest request);
 
     /**
-     * Releases a key if the attempt holds it.
+     * Releases a claim whose attempt is proven not to have run.
      *
-     * @param service service that the key belongs to
-     * @param key key given by the caller
-     * @param attemptId attempt that claimed the key
-     * @return true if the key is free or held by another attempt
+     * @param claim the claim
+     * @return true if this attempt no longer holds the key
      */
-    Uni<Boolean> release(String service, String key, String attemptId);
+    Uni<Boolean> release(Claim claim);
 }
--- a/entry/src/main/java/org/knapweedbank/entry/http/CallerExchange.java
+++ b/entry/src/main/java/org/knapweedbank/entry/http/CallerExchange.java
@@ -13,7 +13,6 @@
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.knapweedbank.entry.ClaimResult;
 import org.knapweedbank.entry.ClaimService;
 import org.knapweedbank.entry.upstream.AgentCall;
 import org.knapweedbank.entry.upstream.AgentConnection;
@@ -25,6 +24,9 @@
 import org.knapweedbank.routing.Refusal;
 import org.knapweedbank.routing.RequestPlan;
 import org.knapweedbank.routing.RequestRules;
+import org.knapweedbank.store.claim.Claim;
+import org.knapweedbank.store.claim.ClaimRequest;
+import org.knapweedbank.store.claim.ClaimResult;
 import org.knapweedbank.time.Clock;
 import org.knapweedbank.wire.AnswerQuery;
 import org.knapweedbank.wire.HeaderField;
@@ -60,6 +62,7 @@
     private final Deque<PlanEvent> mEvents = new ArrayDeque<>();
     private final Map<Integer, AgentCall> mCalls = new HashMap<>();
     private final Map<Integer, ResponseHead> mHeads = new HashMap<>();
+    private Claim mClaim;
     private Uni<Boolean> mRelease;
     private boolean mApplying;
     private boolean mEnded;
@@ -181,28 +184,48 @@
     }
 
     private void claim(PlanAction.Claim claim) {
+        ClaimRequest request =
+                new ClaimRequest(
+                        mRequest.service(), mRequest.idempotencyKey(), mAttemptId, claim.agent());
         mParts.claims()
-                .claim(mRequest.service(), mRequest.idempotencyKey(), mAttemptId, claim.agent())
+                .claim(request)
                 .subscribe()
                 .with(
-                        result -> onContext(claimEvent(result)),
-                        failure -> onContext(new PlanEvent.ClaimUnknown("the claim failed")));
+                        result -> mContext.runOnContext(ignored -> claimed(result)),
+                        failure ->
+                                mContext.runOnContext(
+                                        ignored ->
+                                                apply(
+                                                        new PlanEvent.ClaimUnknown(
+                                                                "the claim failed"))));
     }
 
-    private static PlanEvent claimEvent(ClaimResult result) {
-        return switch (result) {
-            case ClaimResult.Granted granted -> new PlanEvent.ClaimGranted();
-            case ClaimResult.Held held -> new PlanEvent.ClaimHeld(held.agent(), held.attemptId());
-            case ClaimResult.Unavailable refused ->
-                    new PlanEvent.ClaimUnavailable(refused.reason());
-            case ClaimResult.Unknown unknown -> new PlanEvent.ClaimUnknown(unknown.reason());
-        };
+    private void claimed(ClaimResult result) {
+        PlanEvent event =
+                switch (result) {
+                    case ClaimResult.Granted granted -> {
+                        mClaim = granted.claim();
+                        yield new PlanEvent.ClaimGranted();
+                    }
+                    case ClaimResult.AlreadyClaimed held ->
+                            new PlanEvent.ClaimHeld(held.agent(), held.attemptId());
+                    case ClaimResult.Unavailable refused ->
+                            new PlanEvent.ClaimUnavailable(refused.reason());
+                    case ClaimResult.Unknown unknown -> {
+                        mClaim = unknown.claim();
+                        yield new PlanEvent.ClaimUnknown(unknown.reason());
+                    }
+                };
+        apply(event);
     }
 
     private void release() {
+        if (mClaim == null) {
+            return;
+        }
         mRelease =
                 mParts.claims()
-                        .release(mRequest.service(), mRequest.idempotencyKey(), mAttemptId)
+                        .release(mClaim)
                         .ifNoItem()
                         .after(RELEASE_TIMEOUT)
                         .recoverWithItem(false)
@@ -378,10 +401,6 @@
         return mParts.vertx().setTimer(millis, ignored -> apply(event));
     }
 
-    private void onContext(PlanEvent event) {
-        mContext.runOnContext(ignored -> apply(event));
-    }
-
     private void ended() {
         if (mEnded) {
             return;
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -31,13 +31,16 @@
 import org.knapweedbank.config.ServiceSettings;
 import org.knapweedbank.config.SiteConfiguration;
 import org.knapweedbank.entry.CallerLimits;
-import org.knapweedbank.entry.ClaimResult;
 import org.knapweedbank.entry.ClaimService;
 import org.knapweedbank.entry.EntrySettings;
 import org.knapweedbank.entry.ListenAddress;
 import org.knapweedbank.entry.upstream.RoutingState;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.store.claim.Claim;
+import org.knapweedbank.store.claim.ClaimRequest;
+import org.knapweedbank.store.claim.ClaimResult;
+import org.knapweedbank.store.claim.ClaimState;
 import org.knapweedbank.time.SystemClock;
 import org.knapweedbank.wire.AnswerQuery;
 import org.knapweedbank.wire.Cancel;
@@ -74,16 +77,17 @@
 
     /** Claims with a result set by the test. */
     private static final class FakeClaims implements ClaimService {
-        private volatile ClaimResult mResult = new ClaimResult.Granted();
+        private volatile ClaimResult mResult =
+                new ClaimResult.Granted(new Claim("/kwb/claim/k", "attempt", "a", 0));
         private final AtomicInteger mReleased = new AtomicInteger();
 
         @Override
-        public Uni<ClaimResult> claim(String service, String key, String attemptId, String agent) {
+        public Uni<ClaimResult> claim(ClaimRequest request) {
             return Uni.createFrom().item(mResult);
         }
 
         @Override
-        public Uni<Boolean> release(String service, String key, String attemptId) {
+        public Uni<Boolean> release(Claim claim) {
             mReleased.incrementAndGet();
             return Uni.createFrom().item(true);
         }
@@ -325,7 +329,7 @@
     @Test
     void repeatedKeyAsksForTheRecordedAnswer() throws Exception {
         configure();
-        mClaims.mResult = new ClaimResult.Held("a", "earlier");
+        mClaims.mResult = new ClaimResult.AlreadyClaimed("earlier", "a", ClaimState.CLAIMED);
         CompletableFuture<Answer> answer =
                 send("POST", "/s/echo/x", "Idempotency-Key: k\nX-Deadline-Ms: 300", "");
         AnswerQuery query = next(mFirst, AnswerQuery.class);
