--- a/control/src/main/java/org/knapweedbank/control/JournalCodec.java
+++ b/control/src/main/java/org/knapweedbank/control/JournalCodec.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.control;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.type.TypeReference;
 import com.fasterxml.jackson.databind.ObjectMapper;
@@ -7,11 +8,13 @@
 import com.fasterxml.jackson.databind.ObjectWriter;
 import java.io.IOException;
 import java.util.List;
+import org.knapweedbank.model.JobSpec;
+import org.knapweedbank.model.Resources;
 import org.msgpack.jackson.dataformat.MessagePackMapper;
 
 /** Encodes journal records and snapshots as MessagePack. */
 public final class JournalCodec {
-    private static final ObjectMapper MAPPER = new MessagePackMapper();
+    private static final ObjectMapper MAPPER = mapper();
     private static final ObjectReader READER = MAPPER.readerFor(JournalRecord.class);
     private static final ObjectWriter WRITER = MAPPER.writerFor(JournalRecord.class);
     private static final TypeReference<List<JournalRecord>> RECORDS = new TypeReference<>() {};
@@ -20,6 +23,14 @@
 
     private JournalCodec() {}
 
+    private static ObjectMapper mapper() {
+        ObjectMapper mapper = new MessagePackMapper();
+        JsonFormat.Value array = JsonFormat.Value.forShape(JsonFormat.Shape.ARRAY);
+        mapper.configOverride(JobSpec.class).setFormat(array);
+        mapper.configOverride(Resources.class).setFormat(array);
+        return mapper;
+    }
+
     /**
      * Encodes a record.
      *
--- a/control/src/main/java/org/knapweedbank/control/PartitionController.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionController.java
@@ -87,6 +87,8 @@
     private final ControlCounters mCounters;
     private SiteConfiguration mConfiguration;
     private Set<DataCentreId> mRemoved = Set.of();
+    private long mFleetCompleteNanos;
+    private boolean mFleetComplete;
     private long mConfirmedNanos = Long.MIN_VALUE;
 
     PartitionController(
@@ -111,6 +113,8 @@
     /** Restores the state from the journal; called once, before any other event. */
     void recover(List<JournalRecord> records) {
         records.forEach(mState::apply);
+        mScheduler.setFleetComplete(false);
+        mFleetCompleteNanos = mClock.monotonicNanos() + mSettings.sessionTtl().toNanos();
         mState.assumeAllStarted();
         long expiresAt = mClock.monotonicNanos() + mSettings.inheritedExpiry().toNanos();
         mState.occupiedVms().forEach(vm -> mSessions.put(vm, new VmSession(vm, expiresAt)));
@@ -310,7 +314,12 @@
         mScheduler.putVm(session.description());
         if (first) {
             mState.tasksOn(open.vm())
-                    .forEach(task -> mScheduler.adopt(task.pending(now), open.vm()));
+                    .forEach(
+                            task ->
+                                    mScheduler.adopt(
+                                            task.pending(now),
+                                            open.vm(),
+                                            task.job().spec().resources()));
         }
         mScheduler.setSchedulable(open.vm(), true);
         reconcile(session, open.tasks(), task -> task.startedOn() != connection);
@@ -788,6 +797,10 @@
      */
     void tick() {
         long now = mClock.monotonicNanos();
+        if (!mFleetComplete && now - mFleetCompleteNanos >= 0) {
+            mFleetComplete = true;
+            mScheduler.setFleetComplete(true);
+        }
         drainRemoved();
         finishReplacements(now);
         List.copyOf(mSessions.values()).forEach(session -> check(session, now));
--- a/control/src/test/java/org/knapweedbank/control/ControlFixture.java
+++ b/control/src/test/java/org/knapweedbank/control/ControlFixture.java
@@ -70,17 +70,7 @@
 
     static JobSpec job(String id, JobKind kind, int tasks) {
         return new JobSpec(
-                new JobId(id),
-                "team",
-                kind,
-                "web",
-                tasks,
-                TASK,
-                0,
-                false,
-                0,
-                3,
-                List.of("run"));
+                new JobId(id), "team", kind, "web", tasks, TASK, 0, false, 0, 3, List.of("run"));
     }
 
     /** A new owner with the next epoch that knows the committed records only. */
@@ -97,7 +87,9 @@
                         ControlSettings.defaults(),
                         mClock,
                         new PartitionScheduler(
- SchedulerSettings.defaults(), mClock, RandomSource.SPLIT_MIX_64.create(7L)),
+                                SchedulerSettings.defaults(),
+                                mClock,
+                                RandomSource.SPLIT_MIX_64.create(7L)),
                         mJournal,
                         new ControlCounters(new MetricRegistry()));
         mController.recover(committed);
@@ -143,8 +135,7 @@
         mAgents.put(vm, agent);
         mSequences.put(vm, 0L);
         SessionOpen open =
-                new SessionOpen(
-                        new VmId(vm), "rack-" + vm, "region", VM, "", 1, List.of(held));
+                new SessionOpen(new VmId(vm), "rack-" + vm, "region", VM, "", 1, List.of(held));
         mController.open(agent, open);
         heartbeat(vm, held);
         mJournal.commitAll();
@@ -159,8 +150,7 @@
         long seq = mSequences.merge(vm, 1L, Long::sum);
         long digest = TaskDigest.of(List.of(held));
         mController.heartbeat(
-                new VmId(vm),
-                new Heartbeat(seq, mEpoch, digest, 1, List.of(), List.of()));
+                new VmId(vm), new Heartbeat(seq, mEpoch, digest, 1, List.of(), List.of()));
     }
 
     /** Lets time pass in steps of a second, with heartbeats of the VMs named. */
@@ -194,17 +184,14 @@
 
     void report(String vm, StartTask start, TaskReportState state, String detail) {
         mController.report(
-                new VmId(vm),
-                new TaskReport(mEpoch, start.task(), start.attempt(), state, detail));
+                new VmId(vm), new TaskReport(mEpoch, start.task(), start.attempt(), state, detail));
     }
 
     /** All starts sent so far for a task, over all agents. */
     List<StartTask> starts(String task) {
         List<StartTask> starts = new ArrayList<>();
         mAgents.values().forEach(agent -> starts.addAll(agent.sent(StartTask.class)));
-        return starts.stream()
-                .filter(start -> start.task().equals(TaskId.parse(task)))
-                .toList();
+        return starts.stream().filter(start -> start.task().equals(TaskId.parse(task))).toList();
     }
 
     static TaskHeld held(StartTask start, TaskReportState state) {
--- a/model/src/main/java/org/knapweedbank/model/Resources.java
+++ b/model/src/main/java/org/knapweedbank/model/Resources.java
@@ -1,5 +1,7 @@
 package org.knapweedbank.model;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * Amount of processor time, memory and accelerators of a VM or a task.
  *
@@ -64,6 +66,7 @@
      *
      * @return true if all components are zero or more
      */
+    @JsonIgnore
     public boolean isNonNegative() {
         return milliCpu >= 0 && memoryMb >= 0 && accelerators >= 0;
     }
