Add the agent role

An agent serves one worker VM. TaskDuty executes the owner's commands at the worker and takes the worker's list as the authority for results that were lost; SessionDuty finds the owner, keeps the session and rejects commands of any other epoch; RequestDuty suppresses duplicates, keeps to the slots and sends "not run" only for attempts that are marked. The decisions (SlotTable, TaskLedger, PermitCheck, SessionTimer, ConfigState, AnnouncementTable) are free of I/O.

Worker.renew extends all tasks of a worker at once. Without a session the leases are therefore renewed only when no batch task is left running, so a batch task that cannot be stopped ends the service tasks beside it.

--- /dev/null
+++ b/agent/src/main/java/org/knapweedbank/agent/AgentSettings.java
@@ -0,0 +1,44 @@
+package org.knapweedbank.agent;
+
+import java.util.List;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.model.VmId;
+
+/**
+ * Settings of an agent.
+ *
+ * @param daemon identifier of the agent; stays the same across restarts
+ * @param vm worker VM beside the agent
+ * @param region region of the VM
+ * @param dataCentre data centre of the VM
+ * @param rack rack of the VM
+ * @param capacity capacity of the VM
+ * @param host IP address on which entries reach the agent
+ * @param dataPort port for requests, or 0 for any free port
+ * @param announcePort loopback port for announcements of upstreams, or 0 for any free port
+ * @param seeds HOST:PORT of entries, usually the load balancer
+ */
+public record AgentSettings(
+        DaemonId daemon,
+        VmId vm,
+        String region,
+        DataCentreId dataCentre,
+        String rack,
+        Resources capacity,
+        String host,
+        int dataPort,
+        int announcePort,
+        List<String> seeds) {
+    /** Checks the ranges and copies the list. */
+    public AgentSettings {
+        if (seeds.isEmpty()) {
+            throw new IllegalArgumentException("seeds are empty");
+        }
+        if (!capacity.isNonNegative()) {
+            throw new IllegalArgumentException("capacity is negative: " + capacity);
+        }
+        seeds = List.copyOf(seeds);
+    }
+}
--- /dev/null
+++ b/agent/src/main/java/org/knapweedbank/agent/AttemptId.java
@@ -0,0 +1,11 @@
+package org.knapweedbank.agent;
+
+import org.knapweedbank.model.TaskId;
+
+/** An attempt of a task. */
+record AttemptId(TaskId task, int attempt) {
+    @Override
+    public String toString() {
+        return task + "#" + attempt;
+    }
+}
--- /dev/null
+++ b/agent/src/test/java/org/knapweedbank/agent/SlotTableTest.java
@@ -0,0 +1,138 @@
+package org.knapweedbank.agent;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.agent.SlotTable.Admission;
+import org.knapweedbank.time.ManualClock;
+
+class SlotTableTest {
+    private static final long DEADLINE = Duration.ofSeconds(1).toNanos();
+
+    private final ManualClock mClock = new ManualClock();
+    private final SlotTable<String> mTable = new SlotTable<>(2, 4, mClock);
+
+    /** Guards against more requests at the upstream than it has slots, and an unbounded queue. */
+    @Test
+    void queueIsBoundedAndInOrder() {
+        for (int i = 0; i < 2; i++) {
+            assertThat(mTable.offer("r" + i, DEADLINE, false)).isEqualTo(Admission.START);
+        }
+        for (int i = 2; i < 6; i++) {
+            assertThat(mTable.offer("r" + i, DEADLINE, false)).isEqualTo(Admission.QUEUED);
+        }
+        assertThat(mTable.offer("r6", DEADLINE, false)).isEqualTo(Admission.FULL);
+        assertThat(mTable.refused(Admission.FULL)).isEqualTo(1);
+        assertThat(mTable.next(late -> {})).isEmpty();
+        mTable.abandoned();
+        assertThat(mTable.next(late -> {})).hasValue("r2");
+        assertThat(mTable.next(late -> {})).isEmpty();
+    }
+
+    /** Guards against work on a request whose caller has given up. */
+    @Test
+    void queuedRequestPastItsDeadlineIsDropped() {
+        List<String> late = new ArrayList<>();
+        mTable.offer("a", DEADLINE, false);
+        mTable.offer("b", DEADLINE, false);
+        mTable.offer("long", 2 * DEADLINE, false);
+        mTable.offer("short", DEADLINE, false);
+        mClock.advance(Duration.ofSeconds(1));
+        mTable.abandoned();
+        assertThat(mTable.next(late::add)).hasValue("long");
+        assertThat(late).containsExactly("short");
+        assertThat(mTable.refused(Admission.LATE)).isEqualTo(1);
+    }
+
+    /** Guards against queueing a request that will be too late by the measured service time. */
+    @Test
+    void refusesWhatWouldBeLate() {
+        mTable.offer("a", DEADLINE, false);
+        mTable.finished(Duration.ofMillis(400));
+        mTable.offer("b", DEADLINE, false);
+        mTable.offer("c", DEADLINE, false);
+        assertThat(mTable.offer("d", Duration.ofMillis(100).toNanos(), false))
+                .isEqualTo(Admission.LATE);
+        assertThat(mTable.offer("e", DEADLINE, false)).isEqualTo(Admission.QUEUED);
+        assertThat(mTable.load().serviceMicros()).isEqualTo(400_000);
+        assertThat(mTable.offer("f", 0, false)).isEqualTo(Admission.LATE);
+    }
+
+    /** Guards against streams that take all connections or keep their slots. */
+    @Test
+    void streamsFreeTheirSlotsAndLeaveConnections() {
+        for (int i = 0; i < 2; i++) {
+            assertThat(mTable.offer("s" + i, DEADLINE, true)).isEqualTo(Admission.START);
+            mTable.becameStream();
+        }
+        assertThat(mTable.offer("s2", DEADLINE, true)).isEqualTo(Admission.FULL);
+        assertThat(mTable.offer("a", DEADLINE, false)).isEqualTo(Admission.START);
+        assertThat(mTable.offer("b", DEADLINE, false)).isEqualTo(Admission.START);
+        assertThat(mTable.offer("c", DEADLINE, false)).isEqualTo(Admission.QUEUED);
+        mTable.abandoned();
+        mTable.streamEnded();
+        assertThat(mTable.next(late -> {})).hasValue("c");
+        assertThat(mTable.isIdle()).isFalse();
+    }
+
+    /** Guards against new work at an upstream that leaves; queued requests still run. */
+    @Test
+    void leavingUpstreamFinishesItsQueue() {
+        mTable.offer("a", DEADLINE, false);
+        mTable.offer("b", DEADLINE, false);
+        mTable.offer("c", DEADLINE, false);
+        mTable.leaving(true);
+        assertThat(mTable.offer("d", DEADLINE, false)).isEqualTo(Admission.LEAVING);
+        mTable.abandoned();
+        assertThat(mTable.next(late -> {})).hasValue("c");
+        assertThat(mTable.load().leaving()).isTrue();
+    }
+
+    /** Guards against any order of events exceeding slots or connections. */
+    @Test
+    void randomOrderKeepsToTheLimits() {
+        Random random = new Random(99);
+        SlotTable<Integer> table = new SlotTable<>(8, 16, mClock);
+        int running = 0;
+        int streams = 0;
+        for (int i = 0; i < 20_000; i++) {
+            switch (random.nextInt(5)) {
+                case 0, 1 ->
+                        running +=
+                                table.offer(i, Long.MAX_VALUE, random.nextBoolean())
+                                                == Admission.START
+                                        ? 1
+                                        : 0;
+                case 2 -> {
+                    if (running > 0) {
+                        table.abandoned();
+                        running--;
+                    }
+                }
+                case 3 -> {
+                    if (running > 0) {
+                        table.becameStream();
+                        running--;
+                        streams++;
+                    }
+                }
+                default -> {
+                    if (streams > 0) {
+                        table.streamEnded();
+                        streams--;
+                    }
+                }
+            }
+            while (table.next(late -> {}).isPresent()) {
+                running++;
+            }
+            assertThat(running).isAtMost(8);
+            assertThat(running + streams).isAtMost(16);
+            assertThat(table.load().queued()).isAtMost(16);
+        }
+    }
+}
