--- a/config/src/main/java/org/knapweedbank/config/ConfigurationChecker.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationChecker.java
@@ -60,8 +60,8 @@
         mDocument.path("vmSizes").forEach(size -> sizes.add(ConfigurationBinder.resources(size)));
         mDocument
                 .path("jobs")
-                .fields()
-                .forEachRemaining(job -> checkJob(job.getKey(), job.getValue(), sizes));
+                .properties()
+                .forEach(job -> checkJob(job.getKey(), job.getValue(), sizes));
     }
 
     private void checkJob(String name, JsonNode job, List<Resources> sizes) {
--- a/config/src/main/java/org/knapweedbank/config/ConfigurationMerger.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationMerger.java
@@ -67,8 +67,8 @@
             String path,
             List<ConfigurationWarning> warnings,
             ParsedFile file) {
-        overlay.fields()
-                .forEachRemaining(
+        overlay.properties()
+                .forEach(
                         field -> {
                             String name = field.getKey();
                             String child = JsonPaths.field(path, name);
--- a/config/src/main/java/org/knapweedbank/config/ConfigurationParser.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationParser.java
@@ -4,9 +4,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.Iterator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 
 /**
@@ -99,14 +97,14 @@
     }
 
     private static void strip(ObjectNode node) {
-        Iterator<Map.Entry<String, JsonNode>> fields = node.fields();
-        while (fields.hasNext()) {
-            JsonNode value = fields.next().getValue();
-            if (value.isNull()) {
-                fields.remove();
-            } else if (value instanceof ObjectNode object) {
-                strip(object);
-            }
-        }
+        Set.copyOf(node.properties())
+                .forEach(
+                        field -> {
+                            if (field.getValue().isNull()) {
+                                node.remove(field.getKey());
+                            } else if (field.getValue() instanceof ObjectNode object) {
+                                strip(object);
+                            }
+                        });
     }
 }
--- a/config/src/main/java/org/knapweedbank/config/LocatingReader.java
+++ b/config/src/main/java/org/knapweedbank/config/LocatingReader.java
@@ -33,7 +33,8 @@
                                     .maxNestingDepth(ConfigurationLimits.MAX_DEPTH)
                                     .maxStringLength(ConfigurationLimits.MAX_STRING)
                                     .maxNameLength(ConfigurationLimits.MAX_STRING)
-                                    .maxNumberLength(ConfigurationLimits.MAX_NUMBER_DIGITS)
+                                    // Checked in number(), where the path is known.
+                                    .maxNumberLength(ConfigurationLimits.MAX_BYTES)
                                     .build())
                     .build();
 
@@ -42,6 +43,7 @@
     private final List<ConfigurationError> mErrors = new ArrayList<>();
     private final JsonNodeFactory mNodes = JsonNodeFactory.instance;
     private String mPath = JsonPaths.ROOT;
+    private int mLine = 1;
 
     LocatingReader(String file) {
         mFile = file;
@@ -83,10 +85,9 @@
             }
             return root;
         } catch (StreamConstraintsException e) {
-            error(e.getLocation().getLineNr(), firstLine(e), limits());
+            error(line(e), firstLine(e), limits());
         } catch (JsonProcessingException e) {
-            int line = e.getLocation() == null ? 0 : e.getLocation().getLineNr();
-            error(line, firstLine(e), "complete JSON, with // and /* */ comments");
+            error(line(e), firstLine(e), "complete JSON, with // and /* */ comments");
         } catch (IOException e) {
             throw new UncheckedIOException(e);
         }
@@ -95,7 +96,8 @@
 
     private JsonNode value(JsonParser parser, String path) throws IOException {
         mPath = path;
-        mLines.putIfAbsent(path, line(parser));
+        mLine = line(parser);
+        mLines.putIfAbsent(path, mLine);
         return switch (parser.currentToken()) {
             case START_OBJECT -> object(parser, path);
             case START_ARRAY -> array(parser, path);
@@ -113,8 +115,9 @@
             String name = parser.currentName();
             String child = JsonPaths.field(path, name);
             int line = line(parser);
+            mPath = child;
+            mLine = line;
             if (object.has(name)) {
-                mPath = child;
                 String accepted = "one value; the first is at line " + mLines.get(child);
                 error(line, "the name a second time", accepted);
             }
@@ -136,6 +139,10 @@
     }
 
     private JsonNode number(JsonParser parser, String path) throws IOException {
+        if (parser.getTextLength() > ConfigurationLimits.MAX_NUMBER_DIGITS) {
+            error(line(parser), "a number of " + parser.getTextLength() + " characters", limits());
+            return mNodes.numberNode(0);
+        }
         BigDecimal value = parser.getDecimalValue();
         if (Math.abs(value.scale()) > MAX_SCALE) {
             error(line(parser), "number " + parser.getText(), "a number below 1e" + MAX_SCALE);
@@ -158,6 +165,11 @@
         return parser.currentTokenLocation().getLineNr();
     }
 
+    /** Exceptions about limits carry no place; the last value read is then the nearest one. */
+    private int line(JsonProcessingException e) {
+        return e.getLocation() == null ? mLine : e.getLocation().getLineNr();
+    }
+
     private static String firstLine(JsonProcessingException e) {
         return e.getOriginalMessage().lines().findFirst().orElse("malformed JSON");
     }
--- a/config/src/main/java/org/knapweedbank/config/PendingChange.java
+++ b/config/src/main/java/org/knapweedbank/config/PendingChange.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.config;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.knapweedbank.store.Compare;
 import org.knapweedbank.store.Operation;
@@ -21,7 +22,7 @@
                         ? new Compare.Absent(ConfigurationKeys.HEAD)
                         : new Compare.ModifiedAt(ConfigurationKeys.HEAD, headRevision);
         List<Operation> operations =
-                new java.util.ArrayList<>(
+                new ArrayList<>(
                         List.of(
                                 put(
                                         ConfigurationKeys.generation(number),
--- a/config/src/main/java/org/knapweedbank/config/StoreConfigurationSource.java
+++ b/config/src/main/java/org/knapweedbank/config/StoreConfigurationSource.java
@@ -154,6 +154,7 @@
         StoredGeneration generation =
                 new StoredGeneration(head.generation(), head.removed(), document.document());
         offer(generation.configuration());
+        confirmedNanos();
     }
 
     private long number() {
