--- a/entry/src/main/java/org/knapweedbank/entry/EntryDaemon.java
+++ b/entry/src/main/java/org/knapweedbank/entry/EntryDaemon.java
@@ -143,7 +143,7 @@
     private void startDuties() {
         mParts.source()
                 .subscribe(site -> mRoutingLoop.runOnContext(ignored -> mRouting.configure(site)));
-        mMembership.start(mSettings.frames().host() + ":" + mFramePort);
+        mMembership.start(mSettings.advertisedHost() + ":" + mFramePort);
     }
 
     private void stopCallers() {
--- a/entry/src/main/java/org/knapweedbank/entry/EntrySettings.java
+++ b/entry/src/main/java/org/knapweedbank/entry/EntrySettings.java
@@ -10,6 +10,7 @@
  * @param daemon identifier of the daemon
  * @param incarnation start number; grows with each restart
  * @param dataCentre own data centre
+ * @param advertisedHost host under which agents and other entries reach this daemon
  * @param callers listener for callers
  * @param frames listener for agents and other entries
  * @param operators listener for operators
@@ -23,6 +24,7 @@
         DaemonId daemon,
         long incarnation,
         DataCentreId dataCentre,
+        String advertisedHost,
         ListenAddress callers,
         ListenAddress frames,
         ListenAddress operators,
--- /dev/null
+++ b/entry/src/test/java/org/knapweedbank/entry/EntryDaemonTest.java
@@ -0,0 +1,342 @@
+package org.knapweedbank.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.codahale.metrics.MetricRegistry;
+import io.smallrye.mutiny.Uni;
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.config.ConfigurationSource;
+import org.knapweedbank.config.ServiceSettings;
+import org.knapweedbank.config.SiteConfiguration;
+import org.knapweedbank.control.AgentSession;
+import org.knapweedbank.control.ControlService;
+import org.knapweedbank.entry.http.FakeAgent;
+import org.knapweedbank.entry.operator.DaemonDirectory;
+import org.knapweedbank.entry.operator.OperatorForwarder;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.model.VmId;
+import org.knapweedbank.store.KeyEntry;
+import org.knapweedbank.store.cache.PrefixView;
+import org.knapweedbank.store.claim.Claim;
+import org.knapweedbank.store.claim.ClaimRequest;
+import org.knapweedbank.store.claim.ClaimResult;
+import org.knapweedbank.store.lease.EntryRegistration;
+import org.knapweedbank.time.SystemClock;
+import org.knapweedbank.wire.ConfigPush;
+import org.knapweedbank.wire.DaemonRole;
+import org.knapweedbank.wire.DaemonStatus;
+import org.knapweedbank.wire.FrameClient;
+import org.knapweedbank.wire.FrameConnection;
+import org.knapweedbank.wire.FrameTimeouts;
+import org.knapweedbank.wire.Heartbeat;
+import org.knapweedbank.wire.Hello;
+import org.knapweedbank.wire.Message;
+import org.knapweedbank.wire.OperatorCall;
+import org.knapweedbank.wire.OperatorReply;
+import org.knapweedbank.wire.SessionOpen;
+import org.knapweedbank.wire.UpstreamState;
+
+/** Guards the exchange between agents and entries: upstreams, configuration, status and calls. */
+class EntryDaemonTest {
+    private static final long WAIT_SECONDS = 20;
+    private static final ListenAddress ANY = new ListenAddress("127.0.0.1", 0);
+    private static final DataCentreId DC = new DataCentreId("dc");
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final HttpClient mClient = mVertx.createHttpClient();
+    private final View mView = new View();
+    private final List<Part> mStarted = new ArrayList<>();
+    private Part mFirst;
+    private Part mSecond;
+    private FakeAgent mAgent;
+
+    /** View whose entries are set by the test. */
+    private static final class View implements PrefixView {
+        private final Map<String, KeyEntry> mEntries = new TreeMap<>();
+        private final List<Runnable> mListeners = new ArrayList<>();
+
+        synchronized void put(EntryRegistration entry) {
+            mEntries.put(entry.key(), new KeyEntry(entry.key(), entry.encode(), 1, 1, 0));
+            mListeners.forEach(Runnable::run);
+        }
+
+        @Override
+        public synchronized Optional<KeyEntry> get(String key) {
+            return Optional.ofNullable(mEntries.get(key));
+        }
+
+        @Override
+        public synchronized List<KeyEntry> list(String prefix) {
+            return mEntries.values().stream().filter(e -> e.key().startsWith(prefix)).toList();
+        }
+
+        @Override
+        public synchronized void subscribe(String prefix, Runnable listener) {
+            mListeners.add(listener);
+            listener.run();
+        }
+
+        @Override
+        public long confirmedNanos() {
+            return 0;
+        }
+    }
+
+    /** One entry with fake parts. */
+    private final class Part
+            implements ConfigurationSource, ControlService, ClaimService, OperatorMount {
+        private final BlockingQueue<SiteConfiguration> mOffered = new LinkedBlockingQueue<>();
+        private final List<Consumer<SiteConfiguration>> mListeners = new ArrayList<>();
+        private final EntryDaemon mDaemon;
+        private final String mName;
+        private volatile DaemonDirectory mDirectory;
+        private volatile OperatorForwarder mForwarder;
+        private volatile SiteConfiguration mSite;
+
+        Part(String name, SiteConfiguration site) {
+            mName = name;
+            mSite = site;
+            EntrySettings settings =
+                    new EntrySettings(
+                            new DaemonId(name),
+                            1,
+                            DC,
+                            "127.0.0.1",
+                            ANY,
+                            ANY,
+                            ANY,
+                            CallerLimits.DEFAULT,
+                            Duration.ZERO,
+                            Duration.ofSeconds(5),
+                            7);
+            mDaemon =
+                    new EntryDaemon(
+                            settings,
+                            mVertx,
+                            new SystemClock(),
+                            new MetricRegistry(),
+                            new EntryParts(this, mOffered::add, mView, this, this, this));
+            mDaemon.start().await().atMost(Duration.ofSeconds(WAIT_SECONDS));
+            mStarted.add(this);
+        }
+
+        void register() {
+            String address = "127.0.0.1:" + mDaemon.framePort();
+            mView.put(new EntryRegistration(new DaemonId(mName), 1, DC, address, "", ""));
+        }
+
+        synchronized void change(SiteConfiguration site) {
+            mSite = site;
+            mListeners.forEach(listener -> listener.accept(site));
+        }
+
+        @Override
+        public Optional<SiteConfiguration> current() {
+            return Optional.ofNullable(mSite);
+        }
+
+        @Override
+        public long confirmedNanos() {
+            return 0;
+        }
+
+        @Override
+        public synchronized void subscribe(Consumer<SiteConfiguration> listener) {
+            mListeners.add(listener);
+            current().ifPresent(listener);
+        }
+
+        @Override
+        public void opened(AgentSession session, SessionOpen open) {
+            session.granted(0, 1);
+        }
+
+        @Override
+        public void received(AgentSession session, Message message) {}
+
+        @Override
+        public void closed(AgentSession session) {}
+
+        @Override
+        public Uni<ClaimResult> claim(ClaimRequest request) {
+            return Uni.createFrom().item(new ClaimResult.Unavailable("no store"));
+        }
+
+        @Override
+        public Uni<Boolean> release(Claim claim) {
+            return Uni.createFrom().item(true);
+        }
+
+        @Override
+        public OperatorCallHandler mount(
+                io.vertx.ext.web.Router router,
+                DaemonDirectory directory,
+                OperatorForwarder forwarder) {
+            mDirectory = directory;
+            mForwarder = forwarder;
+            return call ->
+                    Uni.createFrom()
+                            .item(
+                                    new OperatorReply(
+                                            0,
+                                            200,
+                                            (mName + call.path())
+                                                    .getBytes(StandardCharsets.UTF_8)));
+        }
+    }
+
+    @BeforeEach
+    void start() {
+        mFirst = new Part("first", site(1));
+        mSecond = new Part("second", site(1));
+        mFirst.register();
+        mSecond.register();
+        mAgent = new FakeAgent("a", mVertx);
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        for (Part part : mStarted) {
+            part.mDaemon.stop().await().atMost(Duration.ofSeconds(WAIT_SECONDS));
+        }
+        mAgent.close();
+        mVertx.close()
+                .toCompletionStage()
+                .toCompletableFuture()
+                .get(WAIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    @Test
+    void upstreamsReachAllEntries() throws Exception {
+        BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+        FrameConnection session = connect(mFirst, received);
+        session.send(heartbeat(1, false));
+        awaitStatus(mFirst, 200);
+        awaitStatus(mSecond, 200);
+        session.send(heartbeat(2, true));
+        awaitStatus(mFirst, 503);
+        awaitStatus(mSecond, 503);
+        assertThat(mAgent.received()).isAtLeast(2);
+    }
+
+    @Test
+    void configurationIsPushedOnGrantAndOnChange() throws Exception {
+        BlockingQueue<Message> received = new LinkedBlockingQueue<>();
+        connect(mFirst, received);
+        assertThat(nextPush(received).generation()).isEqualTo(1);
+        mFirst.change(site(2));
+        assertThat(nextPush(received).generation()).isEqualTo(2);
+    }
+
+    /** Guards against an entry that starts without the store and never learns a configuration. */
+    @Test
+    void entryWithoutStoreLearnsConfigurationFromPeers() throws Exception {
+        Part third = new Part("third", null);
+        third.register();
+        SiteConfiguration offered = third.mOffered.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        assertThat(offered).isEqualTo(site(1));
+    }
+
+    @Test
+    void directoryListsAllDaemons() throws Exception {
+        FrameConnection session = connect(mFirst, new LinkedBlockingQueue<>());
+        session.send(heartbeat(1, false));
+        awaitStatus(mSecond, 200);
+        List<DaemonStatus> daemons = daemons(mSecond);
+        assertThat(daemons.stream().map(d -> d.daemon().value()).toList())
+                .containsExactly("first", "second", "a");
+        DaemonStatus agent =
+                daemons.stream().filter(d -> d.role() == DaemonRole.AGENT).findFirst().get();
+        assertThat(agent.generation()).isEqualTo(7);
+        assertThat(agent.upstreams()).hasSize(1);
+    }
+
+    @Test
+    void operatorCallsAreForwarded() throws Exception {
+        awaitStatus(mFirst, 503);
+        OperatorCall call = new OperatorCall(99, "op", "GET", "/v1/jobs/j", new byte[0]);
+        OperatorReply reply;
+        do {
+            reply = mFirst.mForwarder.forward("second", call).await().indefinitely();
+            // The link between the entries may still be opening.
+        } while (reply.status() == 503);
+        assertThat(reply.status()).isEqualTo(200);
+        assertThat(new String(reply.body(), StandardCharsets.UTF_8)).isEqualTo("second/v1/jobs/j");
+        assertThat(mFirst.mForwarder.forward("none", call).await().indefinitely().status())
+                .isEqualTo(503);
+        assertThat(mFirst.mForwarder.peers()).containsExactly("second");
+    }
+
+    private static List<DaemonStatus> daemons(Part part) {
+        return part.mDirectory.daemons().await().atMost(Duration.ofSeconds(WAIT_SECONDS));
+    }
+
+    private FrameConnection connect(Part part, BlockingQueue<Message> received) throws Exception {
+        FrameClient client = new FrameClient(mVertx, FrameTimeouts.DEFAULT, new MetricRegistry());
+        Hello hello = new Hello(DaemonRole.AGENT, new DaemonId("a"), 1, DC, 1, 1);
+        FrameConnection connection =
+                client.connect("127.0.0.1", part.mDaemon.framePort(), hello)
+                        .await()
+                        .atMost(Duration.ofSeconds(WAIT_SECONDS));
+        connection.messageHandler(received::add);
+        String address = mAgent.record(false, 1).agentAddress();
+        connection.send(
+                new SessionOpen(
+                        new VmId("vm"), "rack", "region", Resources.NONE, address, 0, List.of()));
+        return connection;
+    }
+
+    private Heartbeat heartbeat(long seq, boolean leaving) {
+        UpstreamState state = mAgent.record(leaving, seq).state();
+        return new Heartbeat(seq, 1, 0, 7, List.of(state), List.of());
+    }
+
+    private static ConfigPush nextPush(BlockingQueue<Message> received) throws Exception {
+        Message message = received.poll(WAIT_SECONDS, TimeUnit.SECONDS);
+        return (ConfigPush) message;
+    }
+
+    /** Repeats a request until it has the status; each repeat waits for its answer. */
+    private void awaitStatus(Part part, int status) throws Exception {
+        int last = 0;
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (last != status && System.nanoTime() < end) {
+            CompletableFuture<Integer> answer = new CompletableFuture<>();
+            mClient.request(
+                            io.vertx.core.http.HttpMethod.GET,
+                            part.mDaemon.callerPort(),
+                            "127.0.0.1",
+                            "/s/echo/x")
+                    .compose(request -> request.send())
+                    .onSuccess(response -> answer.complete(response.statusCode()))
+                    .onFailure(answer::completeExceptionally);
+            last = answer.get(WAIT_SECONDS, TimeUnit.SECONDS);
+        }
+        assertThat(last).isEqualTo(status);
+    }
+
+    private static SiteConfiguration site(long generation) {
+        ServiceSettings echo = new ServiceSettings("echo", 100, 10_000, 100, Set.of("GET"), false);
+        return new SiteConfiguration(
+                generation, "test", 1, List.of(), List.of(echo), List.of(), List.of());
+    }
+}
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -100,6 +100,7 @@
                         new DaemonId("entry"),
                         1,
                         new DataCentreId("dc"),
+                        "127.0.0.1",
                         ANY,
                         ANY,
                         ANY,
--- a/entry/src/test/java/org/knapweedbank/entry/http/FakeAgent.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/FakeAgent.java
@@ -23,8 +23,8 @@
 import org.knapweedbank.wire.UpstreamState;
 
 /** Agent that records the frames it gets and answers requests as a script says. */
-final class FakeAgent {
-    static final LoadReport LOAD = new LoadReport(0, 0, 8, 1_000, false);
+public final class FakeAgent {
+    public static final LoadReport LOAD = new LoadReport(0, 0, 8, 1_000, false);
 
     final BlockingQueue<Message> mReceived = new LinkedBlockingQueue<>();
     private final String mName;
@@ -32,7 +32,7 @@
     private final int mPort;
     private volatile BiConsumer<FrameConnection, Request> mScript = FakeAgent::answer;
 
-    FakeAgent(String name, Vertx vertx) {
+    public FakeAgent(String name, Vertx vertx) {
         mName = name;
         mServer =
                 new FrameServer(
@@ -40,11 +40,16 @@
         mPort = mServer.listen("127.0.0.1", 0, this::accept).await().indefinitely();
     }
 
+    /** Number of frames received and not yet taken. */
+    public int received() {
+        return mReceived.size();
+    }
+
     void script(BiConsumer<FrameConnection, Request> script) {
         mScript = script;
     }
 
-    UpstreamRecord record(boolean leaving, long seq) {
+    public UpstreamRecord record(boolean leaving, long seq) {
         return new UpstreamRecord(
                 new DaemonId(mName),
                 1,
@@ -53,7 +58,7 @@
                 new UpstreamState("echo", mName + ":80", 8, 64, leaving, false, seq));
     }
 
-    void close() {
+    public void close() {
         mServer.close().await().indefinitely();
     }
 
