--- /dev/null
+++ b/control/src/main/java/org/knapweedbank/control/DataCentreDrain.java
@@ -0,0 +1,42 @@
+package org.knapweedbank.control;
+
+import java.util.Comparator;
+import java.util.Set;
+import org.knapweedbank.model.DataCentreId;
+
+/** Moves tasks out of data centres that have been taken out of service. */
+final class DataCentreDrain {
+    private final PartitionContext mContext;
+    private final AttemptControl mAttempts;
+
+    DataCentreDrain(PartitionContext context, AttemptControl attempts) {
+        mContext = context;
+        mAttempts = attempts;
+    }
+
+    /**
+     * Checkpoints batch tasks and replaces service replicas in the removed data centres. It is
+     * repeated, since an attempt may have been on its way when the data centre was taken out.
+     */
+    void drain() {
+        Set<DataCentreId> removed = mContext.removedDataCentres();
+        if (!removed.isEmpty()) {
+            mContext.sessions().values().stream()
+                    .filter(session -> session.isKnown() && removed.contains(session.dataCentre()))
+                    .flatMap(session -> mContext.state().tasksOn(session.vm()).stream())
+                    .sorted(Comparator.comparing(TaskEntry::id))
+                    .forEach(this::drain);
+        }
+        mAttempts.stopReplaced();
+    }
+
+    private void drain(TaskEntry task) {
+        if (task.isPlaced()) {
+            mAttempts.end(task, AttemptEnd.NOT_STARTED, "the data centre is out of service");
+        } else if (!task.job().isService()) {
+            mAttempts.checkpoint(task, "the data centre is out of service");
+        } else if (!task.isCancelling()) {
+            mAttempts.replaceGently(task);
+        }
+    }
+}
--- a/control/src/main/java/org/knapweedbank/control/VmSession.java
+++ b/control/src/main/java/org/knapweedbank/control/VmSession.java
@@ -12,6 +12,9 @@
  * leases of the VM only at {@link #expiresAtNanos()}.
  */
 final class VmSession {
+    /** Heartbeats are sent every second. */
+    private static final long HEARTBEAT_LIMIT_NANOS = 1_500_000_000L;
+
     private final VmId mVm;
     private DataCentreId mDataCentre;
     private String mRack = "";
@@ -61,6 +64,11 @@
         return true;
     }
 
+    /** True while heartbeats arrive; a VM that is not heard of takes no new tasks. */
+    boolean isHeard(long nowNanos) {
+        return mHeartbeatSeq > 0 && nowNanos - mHeartbeatNanos <= HEARTBEAT_LIMIT_NANOS;
+    }
+
     /** Extends the assumed end of the leases; called before the acknowledgement is sent. */
     void renew(long nowNanos, Duration expiry) {
         mExpiresAtNanos = Math.max(mExpiresAtNanos, nowNanos + expiry.toNanos());
@@ -108,10 +116,6 @@
         return mHeartbeatSeq;
     }
 
-    long heartbeatNanos() {
-        return mHeartbeatNanos;
-    }
-
     long taskDigest() {
         return mTaskDigest;
     }
