Add the parts of the quickstart program

Cause: a newcomer needs one command that shows the product at work and proves the invariants from what the stand-ins executed.

--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/EntryPool.java
@@ -0,0 +1,45 @@
+package org.knapweedbank.bench.quickstart;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Does what a load balancer does: probes the health of the entries and leaves out failing ones. */
+final class EntryPool {
+    private static final long PROBE_MILLIS = 100;
+
+    private final HttpClient mClient;
+    private final List<Integer> mPorts;
+    private final Map<Integer, Boolean> mHealthy = new ConcurrentHashMap<>();
+    private int mNext;
+
+    EntryPool(Vertx vertx, HttpClient client, List<Integer> ports) {
+        mClient = client;
+        mPorts = List.copyOf(ports);
+        vertx.setPeriodic(1, PROBE_MILLIS, id -> mPorts.forEach(this::probe));
+    }
+
+    private void probe(int port) {
+        mClient.request(HttpMethod.GET, port, "127.0.0.1", "/health")
+                .compose(request -> request.send())
+                .onComplete(
+                        result ->
+                                mHealthy.put(
+                                        port,
+                                        result.succeeded() && result.result().statusCode() == 200));
+    }
+
+    List<Integer> healthy() {
+        return mPorts.stream().filter(port -> mHealthy.getOrDefault(port, false)).toList();
+    }
+
+    /** Next healthy entry in turn, or 0 when there is none. */
+    int next() {
+        List<Integer> healthy = healthy();
+        mNext++;
+        return healthy.isEmpty() ? 0 : healthy.get(Math.floorMod(mNext, healthy.size()));
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/ManagedProcess.java
@@ -0,0 +1,105 @@
+package org.knapweedbank.bench.quickstart;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+
+/** A child process of the quickstart, with its output in a log file. */
+final class ManagedProcess {
+    private final String mName;
+    private final Process mProcess;
+    private final CompletableFuture<String> mReady = new CompletableFuture<>();
+
+    private ManagedProcess(String name, Process process) {
+        mName = name;
+        mProcess = process;
+    }
+
+    /**
+     * Starts a process.
+     *
+     * @param name name for messages and the log file
+     * @param command program and arguments
+     * @param logs folder of the log file
+     * @param readyMark text of the output line that tells that the process is ready
+     */
+    static ManagedProcess start(String name, List<String> command, Path logs, String readyMark)
+            throws IOException {
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        ManagedProcess managed = new ManagedProcess(name, process);
+        Path log = logs.resolve(name + ".log");
+        Thread reader = new Thread(() -> managed.copyOutput(log, readyMark), "output-" + name);
+        reader.setDaemon(true);
+        reader.start();
+        return managed;
+    }
+
+    private void copyOutput(Path log, String readyMark) {
+        try (BufferedReader reader =
+                        new BufferedReader(
+                                new InputStreamReader(
+                                        mProcess.getInputStream(), StandardCharsets.UTF_8));
+                PrintWriter writer = new PrintWriter(log.toFile(), StandardCharsets.UTF_8)) {
+            String line = reader.readLine();
+            while (line != null) {
+                writer.println(line);
+                writer.flush();
+                if (line.contains(readyMark)) {
+                    mReady.complete(line);
+                }
+                line = reader.readLine();
+            }
+        } catch (IOException e) {
+            mReady.completeExceptionally(e);
+        }
+        mReady.completeExceptionally(new IOException(mName + " has ended; see " + log));
+    }
+
+    /** Waits for the ready line and returns it. */
+    String awaitReady(Duration limit) throws IOException, InterruptedException {
+        try {
+            return mReady.get(limit.toMillis(), TimeUnit.MILLISECONDS);
+        } catch (ExecutionException e) {
+            throw new IOException(mName + " did not become ready", e.getCause());
+        } catch (TimeoutException e) {
+            throw new IOException(mName + " did not become ready in " + limit, e);
+        }
+    }
+
+    String name() {
+        return mName;
+    }
+
+    boolean isAlive() {
+        return mProcess.isAlive();
+    }
+
+    /** Ends the process outright, as a crash would. */
+    void kill() {
+        mProcess.destroyForcibly();
+    }
+
+    /** Asks the process to stop. */
+    void terminate() {
+        mProcess.destroy();
+    }
+
+    /** Waits for the end; a process that goes on is killed and false is returned. */
+    boolean awaitEnd(Duration limit) throws InterruptedException {
+        if (mProcess.waitFor(limit.toMillis(), TimeUnit.MILLISECONDS)) {
+            return true;
+        }
+        mProcess.destroyForcibly();
+        mProcess.waitFor();
+        return false;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/StandinClient.java
@@ -0,0 +1,57 @@
+package org.knapweedbank.bench.quickstart;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+
+/** Reads records of stand-ins and calls operator routes over HTTP. */
+final class StandinClient {
+    private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final HttpClient mClient =
+            HttpClient.newBuilder()
+                    .version(HttpClient.Version.HTTP_1_1)
+                    .connectTimeout(TIMEOUT)
+                    .build();
+
+    JsonNode get(int port, String path) throws IOException, InterruptedException {
+        return MAPPER.readTree(send(request(port, path).GET().build()).body());
+    }
+
+    /** Calls an operator route; fails when the answer is not a success. */
+    JsonNode operator(String method, int port, String path, String key, Object body)
+            throws IOException, InterruptedException {
+        HttpRequest.BodyPublisher publisher =
+                body == null
+                        ? HttpRequest.BodyPublishers.noBody()
+                        : HttpRequest.BodyPublishers.ofString(MAPPER.writeValueAsString(body));
+        HttpResponse<String> response =
+                send(
+                        request(port, path)
+                                .header("Authorization", "Bearer " + key)
+                                .header("Content-Type", "application/json")
+                                .method(method, publisher)
+                                .build());
+        if (response.statusCode() / 100 != 2) {
+            throw new IOException(
+                    method + " " + path + ": " + response.statusCode() + " " + response.body());
+        }
+        return MAPPER.readTree(response.body());
+    }
+
+    private HttpRequest.Builder request(int port, String path) {
+        return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
+                .timeout(TIMEOUT);
+    }
+
+    private HttpResponse<String> send(HttpRequest request)
+            throws IOException, InterruptedException {
+        return mClient.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+}
--- a/control/src/main/java/org/knapweedbank/control/ControlCounters.java
+++ b/control/src/main/java/org/knapweedbank/control/ControlCounters.java
@@ -5,14 +5,19 @@
 import java.util.Locale;
 
 /** Counters of the control duty. */
-final class ControlCounters {
+public final class ControlCounters {
     private final MetricRegistry mMetrics;
     private final Meter mStarts;
     private final Meter mEvictions;
     private final Meter mJobs;
     private final Meter mExpired;
 
-    ControlCounters(MetricRegistry metrics) {
+    /**
+     * Creates the counters.
+     *
+     * @param metrics registry that holds them
+     */
+    public ControlCounters(MetricRegistry metrics) {
         mMetrics = metrics;
         mStarts = metrics.meter("control.starts");
         mEvictions = metrics.meter("control.evictions");
--- a/control/src/main/java/org/knapweedbank/control/ControllerOutput.java
+++ b/control/src/main/java/org/knapweedbank/control/ControllerOutput.java
@@ -1,7 +1,7 @@
 package org.knapweedbank.control;
 
 /** Effects of a partition controller, carried out by its host. */
-interface ControllerOutput {
+public interface ControllerOutput {
     /**
      * Appends a record to the journal.
      *
--- a/control/src/main/java/org/knapweedbank/control/PartitionController.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionController.java
@@ -25,7 +25,7 @@
  * effects go out through {@link ControllerOutput} and {@link AgentSession#send}; time comes from
  * the clock. Used by one thread.
  */
-final class PartitionController {
+public final class PartitionController {
     private final PartitionContext mContext;
     private final AttemptControl mAttempts;
     private final TaskStarter mStarter;
@@ -35,7 +35,18 @@
     private long mFleetCompleteNanos;
     private boolean mFleetComplete;
 
-    PartitionController(
+    /**
+     * Creates the controller of a partition.
+     *
+     * @param partition the partition
+     * @param epoch epoch of the ownership
+     * @param settings times and limits
+     * @param clock the clock
+     * @param scheduler scheduler without VMs or tasks
+     * @param output carries out the effects
+     * @param counters counts starts, ends and evictions
+     */
+    public PartitionController(
             int partition,
             long epoch,
             ControlSettings settings,
@@ -53,8 +64,12 @@
         mDrain = new DataCentreDrain(mContext, mAttempts);
     }
 
-    /** Restores the state from the journal; called once, before any other event. */
-    void recover(List<JournalRecord> records) {
+    /**
+     * Restores the state from the journal; called once, before any other event.
+     *
+     * @param records the records in order
+     */
+    public void recover(List<JournalRecord> records) {
         PartitionState state = mContext.state();
         records.forEach(state::apply);
         state.assumeAllStarted();
@@ -67,7 +82,12 @@
                 .forEach(mAttempts::enqueue);
     }
 
-    void configure(SiteConfiguration configuration) {
+    /**
+     * Applies a configuration: quotas, data centres in service, and listed jobs.
+     *
+     * @param configuration the configuration; its generation is not below the last one
+     */
+    public void configure(SiteConfiguration configuration) {
         mContext.setConfiguration(configuration);
         mContext.scheduler().setRemovedDataCentres(mContext.removedDataCentres());
         mContext.scheduler().setQuotas(quotas(configuration));
@@ -97,60 +117,127 @@
         return (amount + parts - 1) / parts;
     }
 
-    void confirmView(long confirmedNanos) {
+    /**
+     * Records that the configuration was confirmed as the newest one.
+     *
+     * @param confirmedNanos monotonic time at which the confirming read was sent
+     */
+    public void confirmView(long confirmedNanos) {
         mContext.confirmView(confirmedNanos);
     }
 
-    void submit(JobSpec spec, boolean fromConfiguration, Consumer<JobResult<JobSummary>> reply) {
+    /**
+     * Submits a job. A repeat of the same specification has no effect.
+     *
+     * @param spec the job
+     * @param fromConfiguration true if the configuration lists it
+     * @param reply told the result once the job is in the journal
+     */
+    public void submit(
+            JobSpec spec, boolean fromConfiguration, Consumer<JobResult<JobSummary>> reply) {
         mJobs.submit(spec, fromConfiguration, reply);
     }
 
-    void cancel(JobId id, Consumer<JobResult<JobSummary>> reply) {
+    /**
+     * Cancels a job.
+     *
+     * @param id the job
+     * @param reply told the result once the cancellation is in the journal
+     */
+    public void cancel(JobId id, Consumer<JobResult<JobSummary>> reply) {
         mJobs.cancel(id, reply);
     }
 
-    List<JobSummary> summaries() {
+    /**
+     * Lists the jobs.
+     *
+     * @return one summary for each job
+     */
+    public List<JobSummary> summaries() {
         return mJobs.summaries();
     }
 
-    Optional<JobDetail> detail(JobId id) {
+    /**
+     * Shows a job.
+     *
+     * @param id the job
+     * @return the job with its tasks, or empty when it is not known
+     */
+    public Optional<JobDetail> detail(JobId id) {
         return mJobs.detail(id);
     }
 
-    Optional<String> explain(JobId id) {
+    /**
+     * Explains why a job waits.
+     *
+     * @param id the job
+     * @return a sentence, or empty when the job is not known
+     */
+    public Optional<String> explain(JobId id) {
         return mJobs.explain(id);
     }
 
-    void open(AgentSession connection, SessionOpen open) {
+    /**
+     * An agent opens a session. The attempts that it holds are compared with the journal.
+     *
+     * @param connection connection of the agent
+     * @param open its VM and the attempts that it holds
+     */
+    public void open(AgentSession connection, SessionOpen open) {
         mSessions.open(connection, open);
     }
 
-    void closed(AgentSession connection) {
+    /**
+     * A connection has ended; the leases of its VM go on until they expire.
+     *
+     * @param connection the connection
+     */
+    public void closed(AgentSession connection) {
         mSessions.closed(connection);
     }
 
-    void heartbeat(VmId vm, Heartbeat heartbeat) {
+    /**
+     * A heartbeat has arrived. One that is not newer than the last has no effect.
+     *
+     * @param vm VM of the session
+     * @param heartbeat the heartbeat
+     */
+    public void heartbeat(VmId vm, Heartbeat heartbeat) {
         mSessions.heartbeat(vm, heartbeat);
     }
 
-    void taskList(VmId vm, TaskList list) {
+    /**
+     * The answer to a task list request has arrived.
+     *
+     * @param vm VM of the session
+     * @param list the attempts held
+     */
+    public void taskList(VmId vm, TaskList list) {
         mSessions.taskList(vm, list);
     }
 
-    void report(VmId vm, TaskReport report) {
+    /**
+     * A report about an attempt has arrived.
+     *
+     * @param vm VM of the session
+     * @param report the report
+     */
+    public void report(VmId vm, TaskReport report) {
         mSessions.report(vm, report);
     }
 
-    void schedule() {
+    /** Makes decisions about waiting tasks, and sends the starts that may be sent. */
+    public void schedule() {
         mStarter.schedule();
     }
 
-    void controlInterference() {
+    /** Throttles or evicts batch tasks that slow down services. */
+    public void controlInterference() {
         mContext.scheduler().controlInterference().forEach(mAttempts::control);
     }
 
-    /** Periodic work, about once a second. */
-    void tick() {
+    /** Checks expiries, data centres that leave, and retention; to be called every second. */
+    public void tick() {
         if (!mFleetComplete && mContext.nowNanos() - mFleetCompleteNanos >= 0) {
             mFleetComplete = true;
             mContext.scheduler().setFleetComplete(true);
@@ -160,8 +247,12 @@
         mJobs.retire();
     }
 
-    /** State with the effect of all records appended so far. */
-    List<JournalRecord> snapshot() {
+    /**
+     * State with the effect of all records appended so far.
+     *
+     * @return one record for each job
+     */
+    public List<JournalRecord> snapshot() {
         return mContext.state().snapshot();
     }
 }
