--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/DaemonSettingsFiles.java
@@ -0,0 +1,75 @@
+package org.knapweedbank.bench.quickstart;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Settings files of the daemons of the quickstart. */
+final class DaemonSettingsFiles {
+    private DaemonSettingsFiles() {}
+
+    static String entry(Deployment.Entry entry, int storePort, Path folder) {
+        return """
+                {
+                  "role": "entry",
+                  "id": "%s",
+                  "dataCentre": "%s",
+                  "advertisedHost": "127.0.0.1",
+                  "callers": "127.0.0.1:%d",
+                  "frames": "127.0.0.1:%d",
+                  "operators": "127.0.0.1:%d",
+                  "store": ["127.0.0.1:%d"],
+                  "operatorKeyFile": "%s",
+                  // Short leases, so that a killed agent's tasks move within the run.
+                  "sessionTtlMillis": 3000,
+                  "maxStoreSilenceMillis": 10000,
+                  "drainDelayMillis": 1000
+                }
+                """
+                .formatted(
+                        entry.id(),
+                        entry.dataCentre(),
+                        entry.callers(),
+                        entry.frames(),
+                        entry.operators(),
+                        storePort,
+                        folder.resolve("operators.keys"));
+    }
+
+    static String agent(
+            Deployment.Vm vm,
+            List<Deployment.Entry> entries,
+            int workerPort,
+            int dataPort,
+            int announcePort) {
+        String seeds =
+                entries.stream()
+                        .map(entry -> "\"127.0.0.1:" + entry.frames() + "\"")
+                        .collect(Collectors.joining(", "));
+        return """
+                {
+                  "role": "agent",
+                  "id": "agent-%s",
+                  "vm": "%s",
+                  "region": "highlands",
+                  "dataCentre": "%s",
+                  "rack": "rack-%s",
+                  "capacity": {"milliCpu": 16000, "memoryMb": 16000, "accelerators": 0},
+                  "host": "127.0.0.1",
+                  "dataPort": %d,
+                  "announcePort": %d,
+                  "worker": "127.0.0.1:%d",
+                  "seeds": [%s]
+                }
+                """
+                .formatted(
+                        vm.id(),
+                        vm.id(),
+                        vm.dataCentre(),
+                        vm.id(),
+                        dataPort,
+                        announcePort,
+                        workerPort,
+                        seeds);
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/Deployment.java
@@ -0,0 +1,237 @@
+package org.knapweedbank.bench.quickstart;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** The processes of the quickstart and their settings files. */
+final class Deployment {
+    /** Key of the operator in the quickstart's key file. */
+    static final String OPERATOR_KEY = "quickstart-operator-key";
+
+    static final List<String> DATA_CENTRES = List.of("north", "south");
+    private static final int VMS_PER_DATA_CENTRE = 2;
+    private static final Duration READY_LIMIT = Duration.ofSeconds(20);
+    private static final Pattern PORTS = Pattern.compile("port (\\d+), admin port (\\d+)");
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Path mRoot;
+    private final Path mFolder;
+    private final Map<String, ManagedProcess> mProcesses = new LinkedHashMap<>();
+    private final List<Vm> mVms = new ArrayList<>();
+    private final List<Entry> mEntries = new ArrayList<>();
+    private int mStorePort;
+    private int mStoreAdminPort;
+
+    /** A worker VM: worker, agent and upstream. */
+    record Vm(String id, String dataCentre, int workerAdmin, int upstreamPort, int upstreamAdmin) {}
+
+    /** An entry daemon. */
+    record Entry(String id, String dataCentre, int callers, int frames, int operators) {}
+
+    Deployment(Path root, Path folder) {
+        mRoot = root;
+        mFolder = folder;
+    }
+
+    List<Vm> vms() {
+        return List.copyOf(mVms);
+    }
+
+    List<Entry> entries() {
+        return List.copyOf(mEntries);
+    }
+
+    ManagedProcess process(String name) {
+        return mProcesses.get(name);
+    }
+
+    Path folder() {
+        return mFolder;
+    }
+
+    Path root() {
+        return mRoot;
+    }
+
+    int storeAdminPort() {
+        return mStoreAdminPort;
+    }
+
+    void startStore() throws IOException, InterruptedException {
+        ManagedProcess store = startStandin("store", "store");
+        Matcher ports = ports(store);
+        mStorePort = Integer.parseInt(ports.group(1));
+        mStoreAdminPort = Integer.parseInt(ports.group(2));
+    }
+
+    void startEntries() throws IOException, InterruptedException {
+        Files.writeString(mFolder.resolve("operators.keys"), "quickstart:" + OPERATOR_KEY + "\n");
+        for (String dataCentre : DATA_CENTRES) {
+            Entry entry =
+                    new Entry(
+                            "entry-" + dataCentre, dataCentre, freePort(), freePort(), freePort());
+            mEntries.add(entry);
+            Path file = mFolder.resolve(entry.id() + ".json");
+            Files.writeString(file, DaemonSettingsFiles.entry(entry, mStorePort, mFolder));
+            startDaemon(entry.id(), file);
+        }
+    }
+
+    /** Starts workers, agents and upstreams. */
+    void startVms() throws IOException, InterruptedException {
+        List<Vm> planned = new ArrayList<>();
+        for (String dataCentre : DATA_CENTRES) {
+            for (int i = 1; i <= VMS_PER_DATA_CENTRE; i++) {
+                String id = dataCentre + "-" + i;
+                startStandin(
+                        "worker-" + id,
+                        "worker",
+                        "--vm",
+                        id,
+                        "--dc",
+                        dataCentre,
+                        "--milli-cpu",
+                        "16000",
+                        "--memory-mb",
+                        "16000",
+                        "--usage-lag-millis",
+                        "1000");
+                planned.add(new Vm(id, dataCentre, 0, 0, 0));
+            }
+        }
+        Map<String, Integer> announcePorts = new LinkedHashMap<>();
+        for (Vm vm : planned) {
+            announcePorts.put(vm.id(), startAgent(vm));
+        }
+        for (Vm vm : planned) {
+            startStandin(
+                    "upstream-" + vm.id(),
+                    "upstream",
+                    "--service",
+                    "demo",
+                    "--name",
+                    "upstream-" + vm.id(),
+                    "--agent",
+                    "127.0.0.1:" + announcePorts.get(vm.id()));
+        }
+        for (Vm vm : planned) {
+            Matcher worker = ports(process("worker-" + vm.id()));
+            Matcher upstream = ports(process("upstream-" + vm.id()));
+            mVms.add(
+                    new Vm(
+                            vm.id(),
+                            vm.dataCentre(),
+                            Integer.parseInt(worker.group(2)),
+                            Integer.parseInt(upstream.group(1)),
+                            Integer.parseInt(upstream.group(2))));
+        }
+    }
+
+    private int startAgent(Vm vm) throws IOException, InterruptedException {
+        int workerPort = Integer.parseInt(ports(process("worker-" + vm.id())).group(1));
+        int announcePort = freePort();
+        Path file = mFolder.resolve("agent-" + vm.id() + ".json");
+        Files.writeString(
+                file,
+                DaemonSettingsFiles.agent(vm, mEntries, workerPort, freePort(), announcePort));
+        startDaemon("agent-" + vm.id(), file);
+        return announcePort;
+    }
+
+    private void startDaemon(String name, Path settings) throws IOException {
+        List<String> command =
+                List.of(
+                        mRoot.resolve("bin/knapweedbankd").toString(),
+                        "--config",
+                        settings.toString());
+        mProcesses.put(name, ManagedProcess.start(name, command, mFolder, "is ready"));
+    }
+
+    void awaitDaemons() throws IOException, InterruptedException {
+        for (ManagedProcess process : mProcesses.values()) {
+            process.awaitReady(READY_LIMIT);
+        }
+    }
+
+    private ManagedProcess startStandin(String name, String... arguments) throws IOException {
+        List<String> command =
+                new ArrayList<>(
+                        List.of(
+                                ProcessHandle.current().info().command().orElse("java"),
+                                "-Xmx64m",
+                                "-XX:+UseSerialGC",
+                                "-XX:TieredStopAtLevel=1",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "org.knapweedbank.standin.StandinMain"));
+        command.addAll(Arrays.asList(arguments));
+        ManagedProcess process = ManagedProcess.start(name, command, mFolder, "ready: port");
+        mProcesses.put(name, process);
+        return process;
+    }
+
+    private static Matcher ports(ManagedProcess process) throws IOException, InterruptedException {
+        String line = process.awaitReady(READY_LIMIT);
+        Matcher matcher = PORTS.matcher(line);
+        if (!matcher.find()) {
+            throw new IOException(process.name() + " printed no ports: " + line);
+        }
+        return matcher;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Runs the operators' client and returns its exit code and output. */
+    CommandResult client(String... arguments) throws IOException, InterruptedException {
+        List<String> command = new ArrayList<>();
+        command.add(mRoot.resolve("bin/knapweedbank").toString());
+        command.addAll(Arrays.asList(arguments));
+        command.addAll(List.of("--key-file", mFolder.resolve("operator.key").toString()));
+        for (Entry entry : mEntries) {
+            command.addAll(List.of("--server", "127.0.0.1:" + entry.operators()));
+        }
+        Process process = new ProcessBuilder(command).redirectErrorStream(true).start();
+        String output = new String(process.getInputStream().readAllBytes());
+        return new CommandResult(process.waitFor(), output);
+    }
+
+    /** Result of a client command. */
+    record CommandResult(int exitCode, String output) {}
+
+    /** Stops processes in the order given, each gracefully; returns the names of those killed. */
+    List<String> stop(List<String> names, Duration limit) throws InterruptedException {
+        names.forEach(name -> mProcesses.get(name).terminate());
+        List<String> killed = new ArrayList<>();
+        for (String name : names) {
+            if (!mProcesses.get(name).awaitEnd(limit)) {
+                killed.add(name);
+            }
+        }
+        return killed;
+    }
+
+    List<String> names(String prefix) {
+        return mProcesses.keySet().stream().filter(name -> name.startsWith(prefix)).toList();
+    }
+
+    /** Ends whatever still runs. */
+    void killAll() {
+        mProcesses.values().stream().filter(ManagedProcess::isAlive).forEach(ManagedProcess::kill);
+    }
+}
