--- /dev/null
+++ b/entry/src/main/java/org/knapweedbank/entry/operator/ApplyAnswers.java
@@ -0,0 +1,52 @@
+package org.knapweedbank.entry.operator;
+
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.knapweedbank.config.ApplyResult;
+import org.knapweedbank.config.ConfigurationWarning;
+
+/** Answers to changes of the configuration. */
+final class ApplyAnswers {
+    private ApplyAnswers() {}
+
+    static OperatorAnswer of(ApplyResult result) {
+        return switch (result) {
+            case ApplyResult.Applied applied -> applied(applied);
+            case ApplyResult.Conflict conflict -> conflict(conflict);
+            case ApplyResult.Rejected rejected -> OperatorProblem.errors(rejected.errors());
+            case ApplyResult.Unavailable unavailable ->
+                    OperatorProblem.unavailable(
+                            "the change was not applied: " + unavailable.reason());
+            case ApplyResult.Unknown unknown ->
+                    OperatorProblem.unknown(
+                            "it is not known whether the change was applied: " + unknown.reason());
+        };
+    }
+
+    private static OperatorAnswer applied(ApplyResult.Applied applied) {
+        ObjectNode node = JsonNodeFactory.instance.objectNode();
+        node.put("outcome", "applied");
+        node.put("generation", applied.generation());
+        node.put("changed", applied.changed());
+        for (ConfigurationWarning warning : applied.warnings()) {
+            node.withArray("warnings").add(warning.toString());
+        }
+        return OperatorAnswer.of(200, node).withGeneration(applied.generation());
+    }
+
+    private static OperatorAnswer conflict(ApplyResult.Conflict conflict) {
+        String detail =
+                conflict.generation() == 0
+                        ? "no generation is in force"
+                        : "generation %d is in force, set by %s at %s"
+                                .formatted(
+                                        conflict.generation(), conflict.setBy(), conflict.setAt());
+        ObjectNode node =
+                OperatorProblem.document(
+                        409, "conflict", "Conflict", detail, OperatorProblem.NOT_APPLIED);
+        node.put("generation", conflict.generation());
+        node.put("setBy", conflict.setBy());
+        node.put("setAt", conflict.setAt());
+        return OperatorAnswer.of(409, node).withGeneration(conflict.generation());
+    }
+}
