--- a/entry/src/main/java/org/knapweedbank/entry/operator/OperatorRoutes.java
+++ b/entry/src/main/java/org/knapweedbank/entry/operator/OperatorRoutes.java
@@ -81,7 +81,7 @@
     public void mount(Router router) {
         router.route(ALL).failureHandler(this::failed);
         // Paths that cannot be decoded match no route.
-        router.errorHandler(400, this::failed);
+        router.errorHandler(400, c -> send(c, OperatorProblem.badRequest("the path is malformed")));
         router.route(ALL).handler(this::authenticate);
         router.route(ALL).handler(this::checkMediaType);
         router.route(ALL)
