--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/RoutingPolicyBenchmark.java
@@ -0,0 +1,161 @@
+package org.knapweedbank.bench.routing;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.knapweedbank.bench.Benchmark;
+import org.knapweedbank.bench.BenchmarkReport;
+import org.knapweedbank.bench.Figure;
+import org.knapweedbank.routing.UpstreamId;
+
+/**
+ * Compares the routing policy with baselines on virtual time: four data centres with an entry each,
+ * 11 upstreams with 8 slots, the same seeded arrivals for each policy.
+ */
+public final class RoutingPolicyBenchmark implements Benchmark {
+    private static final String NAME = "routing.policy";
+    private static final long SEED = 20_261_204;
+    private static final int UPSTREAMS = 11;
+    private static final int DATA_CENTRES = 4;
+    private static final double MEAN_SERVICE_NANOS = Duration.ofMillis(20).toNanos();
+    private static final double IDEMPOTENT_SHARE = 0.8;
+    private static final double WAVE_LOAD = 2;
+    private static final List<Scenario> SCENARIOS =
+            List.of(
+                    new Scenario("steady", Scenario.Kind.NONE, 0.6),
+                    new Scenario("slow", Scenario.Kind.SLOW, 0.6),
+                    new Scenario("failing", Scenario.Kind.FAILING, 0.6),
+                    new Scenario("wave", Scenario.Kind.WAVE, 0.6),
+                    new Scenario("leaving", Scenario.Kind.LEAVING, 0.6));
+
+    @Override
+    public String name() {
+        return NAME;
+    }
+
+    @Override
+    public void run(BenchmarkReport report) {
+        for (Scenario scenario : SCENARIOS) {
+            List<Arrival> arrivals = arrivals(scenario);
+            for (Policy policy : Policy.values()) {
+                report(report, scenario, policy, simulate(scenario, policy, arrivals));
+            }
+        }
+    }
+
+    private static void report(
+            BenchmarkReport report, Scenario scenario, Policy policy, PolicyResult result) {
+        String input = "seed " + SEED + ", " + result.total() + " requests";
+        Map<String, Double> millis = new LinkedHashMap<>();
+        millis.put("p50", result.latencyMillis(50));
+        millis.put("p99", result.latencyMillis(99));
+        millis.put("p999", result.latencyMillis(99.9));
+        String prefix = NAME + "." + scenario.name() + ".";
+        millis.forEach(
+                (name, value) ->
+                        report.add(
+                                new Figure(
+                                        prefix + name,
+                                        value,
+                                        "ms",
+                                        null,
+                                        policy.baseline(),
+                                        input)));
+        Map<String, Double> percent = new LinkedHashMap<>();
+        percent.put("refused", result.refusedPercent());
+        percent.put("failed", result.failedPercent());
+        percent.put("repeated", result.repeatedPercent());
+        percent.forEach(
+                (name, value) ->
+                        report.add(
+                                new Figure(
+                                        prefix + name,
+                                        value,
+                                        "%",
+                                        null,
+                                        policy.baseline(),
+                                        input)));
+    }
+
+    private static List<Arrival> arrivals(Scenario scenario) {
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED);
+        double capacity = UPSTREAMS * SimulatedUpstream.SLOTS / MEAN_SERVICE_NANOS;
+        List<Arrival> arrivals = new ArrayList<>();
+        double now = 0;
+        while (now < Scenario.DURATION) {
+            boolean wave =
+                    scenario.kind() == Scenario.Kind.WAVE && scenario.disturbed((long) now);
+            double rate = capacity * (wave ? WAVE_LOAD : scenario.load());
+            now += exponential(random) / rate;
+            arrivals.add(
+                    new Arrival(
+                            (long) now,
+                            random.nextInt(DATA_CENTRES),
+                            (long) (exponential(random) * MEAN_SERVICE_NANOS),
+                            random.nextDouble() < IDEMPOTENT_SHARE));
+        }
+        return arrivals;
+    }
+
+    private static double exponential(UniformRandomProvider random) {
+        return -Math.log(1 - random.nextDouble());
+    }
+
+    private static PolicyResult simulate(
+            Scenario scenario, Policy policy, List<Arrival> arrivals) {
+        VirtualTime time = new VirtualTime();
+        UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + 1);
+        PolicyResult result = new PolicyResult();
+        Map<UpstreamId, SimulatedUpstream> upstreams = new LinkedHashMap<>();
+        for (int i = 0; i < UPSTREAMS; i++) {
+            SimulatedUpstream upstream =
+                    new SimulatedUpstream(time, scenario, i, i % DATA_CENTRES, i == 0);
+            upstreams.put(upstream.id(), upstream);
+        }
+        List<SimulatedEntry> entries = new ArrayList<>();
+        for (int i = 0; i < DATA_CENTRES; i++) {
+            entries.add(
+                    new SimulatedEntry(
+                            time,
+                            i,
+                            policy.pool(i, time, random),
+                            policy.retries(),
+                            policy.hedges(),
+                            upstreams,
+                            random,
+                            result));
+        }
+        announce(entries, upstreams, false);
+        if (scenario.kind() == Scenario.Kind.LEAVING) {
+            time.at(scenario.from(), () -> announce(entries, upstreams, true));
+            time.at(scenario.to(), () -> announce(entries, upstreams, false));
+        }
+        for (Arrival arrival : arrivals) {
+            time.at(arrival.nanos(), () -> entries.get(arrival.entry()).arrive(arrival));
+        }
+        time.run();
+        return result;
+    }
+
+    /** Announces all upstreams; those of the first data centre leave if asked for. */
+    private static void announce(
+            List<SimulatedEntry> entries,
+            Map<UpstreamId, SimulatedUpstream> upstreams,
+            boolean firstLeaves) {
+        for (SimulatedUpstream upstream : upstreams.values()) {
+            boolean leaving = firstLeaves && upstream.dataCentre() == 0;
+            entries.forEach(
+                    entry ->
+                            entry.pool()
+                                    .put(
+                                            upstream.id(),
+                                            upstream.dataCentre(),
+                                            SimulatedUpstream.SLOTS,
+                                            leaving));
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/SelectorPool.java
@@ -0,0 +1,72 @@
+package org.knapweedbank.bench.routing;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.routing.AttemptResult;
+import org.knapweedbank.routing.EjectionSettings;
+import org.knapweedbank.routing.NetworkDelays;
+import org.knapweedbank.routing.OutlierEjector;
+import org.knapweedbank.routing.SelectorSettings;
+import org.knapweedbank.routing.UpstreamId;
+import org.knapweedbank.routing.UpstreamLoad;
+import org.knapweedbank.routing.UpstreamSelector;
+import org.knapweedbank.time.Clock;
+
+/** The product's choice of upstreams. */
+final class SelectorPool implements SimulatedPool {
+    private final UpstreamSelector mSelector;
+
+    SelectorPool(int dataCentre, Clock clock, UniformRandomProvider random) {
+        DataCentreId own = dataCentre(dataCentre);
+        mSelector =
+                new UpstreamSelector(
+                        own,
+                        SelectorSettings.DEFAULT,
+                        new NetworkDelays(own, SelectorSettings.DEFAULT),
+                        new OutlierEjector(EjectionSettings.DEFAULT, clock),
+                        clock,
+                        random);
+    }
+
+    @Override
+    public void put(UpstreamId id, int dataCentre, int slots, boolean leaving) {
+        mSelector.put(id, dataCentre(dataCentre), slots, leaving);
+    }
+
+    @Override
+    public void reported(UpstreamId id, UpstreamLoad load) {
+        mSelector.reported(id, load);
+    }
+
+    @Override
+    public Optional<Duration> expectedDelay() {
+        return mSelector.expectedDelay();
+    }
+
+    @Override
+    public Optional<UpstreamId> select(Set<UpstreamId> excluded) {
+        return mSelector.select(excluded);
+    }
+
+    @Override
+    public boolean available(UpstreamId upstream) {
+        return mSelector.available(upstream);
+    }
+
+    @Override
+    public void sent(UpstreamId upstream) {
+        mSelector.sent(upstream);
+    }
+
+    @Override
+    public void ended(UpstreamId upstream, AttemptResult result) {
+        mSelector.ended(upstream, result);
+    }
+
+    private static DataCentreId dataCentre(int index) {
+        return new DataCentreId("dc" + index);
+    }
+}
--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -94,9 +94,9 @@
         mId = settings.daemon().value();
         mView = new StorePrefixView(store, WATCHED_PREFIX, clock);
         mSource = new StoreConfigurationSource(mView, store);
-        mConfigurations = new ConfigurationStore(store, clock, mId);
         mClaims = new ClaimStore(store, clock, ClaimSettings.standard());
         long incarnation = clock.wallTime().toEpochMilli();
+        mConfigurations = new ConfigurationStore(store, clock, mId + "-" + incarnation);
         mLease = lease(settings, incarnation);
         mPartitions = partitions(settings, registry);
         EntryParts parts =
@@ -142,6 +142,10 @@
                         });
     }
 
+    ConfigurationStore configurations() {
+        return mConfigurations;
+    }
+
     EntryDaemon entry() {
         return mEntry;
     }
