Add the worker client and the worker and upstream stand-ins

Agents need a client for the platform's workers, and tests and the quickstart need workers and upstreams that keep a record outside the process under test. HttpWorker implements Worker over HTTP/JSON: a change whose answer is lost is unknown, a lost query is unavailable. InMemoryWorker simulates tasks with leases, checkpoints, throttling and usage that lags, refuses two attempts of a task at a time, and records each start and end. WorkerServer and UpstreamServer serve HTTP and give their records on a second port; the upstream announces itself, records executions by idempotency key and token, and leaves gracefully. StandinMain runs each stand-in as a process.

A run of the tests showed that the Vert.x client throws when it is closed between a check and a call, so a call under way at the end of an adapter would never have completed; it now ends as unavailable, with a test.

--- a/standin/src/main/java/org/knapweedbank/standin/EtcdGatewayServer.java
+++ b/standin/src/main/java/org/knapweedbank/standin/EtcdGatewayServer.java
@@ -4,17 +4,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
-import io.vertx.core.Future;
 import io.vertx.core.Vertx;
-import io.vertx.core.http.HttpServer;
-import io.vertx.core.http.HttpServerOptions;
 import io.vertx.ext.web.Router;
 import io.vertx.ext.web.RoutingContext;
 import io.vertx.ext.web.handler.BodyHandler;
 import java.time.Duration;
-import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeUnit;
-import java.util.concurrent.TimeoutException;
 import java.util.function.Function;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -30,7 +24,6 @@
 public final class EtcdGatewayServer implements AutoCloseable {
     private static final Logger LOG = LogManager.getLogger(EtcdGatewayServer.class);
     private static final int MAX_BODY_BYTES = 4 * 1024 * 1024;
-    private static final long LIMIT_SECONDS = 10;
     private static final int OK = 200;
     private static final int BAD_REQUEST = 400;
     private static final int NOT_FOUND = 404;
@@ -40,11 +33,8 @@
 
     private final Vertx mVertx;
     private final InMemoryStore mStore;
-    private final String mHost;
+    private final SwitchedHttpServer mServer;
     private final Context mContext;
-    private int mPort;
-    private HttpServer mServer;
-    private Future<Void> mLastChange = Future.succeededFuture();
     private long mTimer = -1;
 
     /**
@@ -58,9 +48,8 @@
     public EtcdGatewayServer(Vertx vertx, InMemoryStore store, String host, int port) {
         mVertx = vertx;
         mStore = store;
-        mHost = host;
-        mPort = port;
-        mContext = vertx.getOrCreateContext();
+        mServer = new SwitchedHttpServer(vertx, host, port, router());
+        mContext = mServer.context();
         store.faults().onDownChanged(this::updateListening);
     }
 
@@ -89,68 +78,18 @@
      *
      * @return the port
      */
-    public synchronized int port() {
-        return mPort;
+    public int port() {
+        return mServer.port();
     }
 
     @Override
     public void close() {
         mVertx.cancelTimer(mTimer);
-        await(change(false));
+        mServer.close();
     }
 
     private void updateListening() {
-        Future<Void> change = change(!mStore.faults().isDown());
-        if (Vertx.currentContext() == null) {
-            await(change);
-        }
-    }
-
-    private synchronized Future<Void> change(boolean listen) {
-        mLastChange =
-                mLastChange.compose(ignored -> Future.future(p -> onContext(listen).onComplete(p)));
-        return mLastChange;
-    }
-
-    private Future<Void> onContext(boolean listen) {
-        return Future.future(
-                promise ->
-                        mContext.runOnContext(
-                                ignored -> (listen ? listen() : stop()).onComplete(promise)));
-    }
-
-    private Future<Void> listen() {
-        if (mServer != null) {
-            return Future.succeededFuture();
-        }
-        mServer = mVertx.createHttpServer(new HttpServerOptions().setHost(mHost));
-        return mServer.requestHandler(router())
-                .listen(port(), mHost)
-                .onSuccess(server -> setPort(server.actualPort()))
-                .mapEmpty();
-    }
-
-    private Future<Void> stop() {
-        if (mServer == null) {
-            return Future.succeededFuture();
-        }
-        HttpServer server = mServer;
-        mServer = null;
-        return server.close();
-    }
-
-    private synchronized void setPort(int port) {
-        mPort = port;
-    }
-
-    private static void await(Future<Void> future) {
-        try {
-            future.toCompletionStage().toCompletableFuture().get(LIMIT_SECONDS, TimeUnit.SECONDS);
-        } catch (ExecutionException | TimeoutException e) {
-            throw new IllegalStateException("the server cannot change its state", e);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
-        }
+        mServer.listening(!mStore.faults().isDown());
     }
 
     private Router router() {
--- /dev/null
+++ b/standin/src/test/java/org/knapweedbank/standin/WorkerContract.java
@@ -0,0 +1,239 @@
+package org.knapweedbank.standin;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.model.TaskId;
+import org.knapweedbank.model.VmId;
+import org.knapweedbank.worker.TaskStart;
+import org.knapweedbank.worker.TaskState;
+import org.knapweedbank.worker.TaskStatus;
+import org.knapweedbank.worker.TaskUsage;
+import org.knapweedbank.worker.WorkerResult;
+
+/** Contract of a worker, for each implementation. */
+abstract class WorkerContract {
+    private static final Duration LIMIT = Duration.ofSeconds(10);
+    private static final Resources HALF = new Resources(500, 100, 1);
+    private static final TaskId TASK = new TaskId(new JobId("job"), 0);
+    private static final TaskId OTHER = new TaskId(new JobId("job"), 1);
+    private static final long LEASE_MILLIS = 30_000;
+
+    static final WorkerDescription DESCRIPTION =
+            new WorkerDescription(
+                    new VmId("vm-1"),
+                    new DataCentreId("dc-1"),
+                    new Resources(1000, 200, 2),
+                    Duration.ofSeconds(5));
+
+    private WorkerFixture mFixture;
+
+    abstract WorkerFixture open();
+
+    @BeforeEach
+    void openFixture() {
+        mFixture = open();
+    }
+
+    @AfterEach
+    void closeFixture() {
+        mFixture.close();
+    }
+
+    private static TaskStart resume(TaskId task, int attempt, String checkpoint, String... args) {
+        return new TaskStart(task, attempt, HALF, LEASE_MILLIS, List.of(args), checkpoint);
+    }
+
+    private static TaskStart order(TaskId task, int attempt, String... args) {
+        return resume(task, attempt, "", args);
+    }
+
+    private static <T> T value(Uni<WorkerResult<T>> call) {
+        WorkerResult<T> result = call.await().atMost(LIMIT);
+        assertThat(result).isInstanceOf(WorkerResult.Succeeded.class);
+        return ((WorkerResult.Succeeded<T>) result).value();
+    }
+
+    private static String kind(Uni<? extends WorkerResult<?>> call) {
+        return call.await().atMost(LIMIT).getClass().getSimpleName();
+    }
+
+    private TaskState stateAfter(long millis) {
+        mFixture.clock().advance(Duration.ofMillis(millis));
+        return status().state();
+    }
+
+    private TaskStatus status() {
+        return value(mFixture.worker().list()).getFirst();
+    }
+
+    private TaskStatus start(TaskStart start) {
+        return value(mFixture.worker().start(start));
+    }
+
+    private List<String> executions() {
+        return mFixture.backend().executions().stream()
+                .map(e -> e.kind() + " " + e.attempt() + " " + e.state())
+                .toList();
+    }
+
+    /** Guards against tasks that end early, late or in the wrong state. */
+    @Test
+    void tasksRunForTheirTime() {
+        assertThat(start(order(TASK, 1, "simulate", "--millis", "1500")).state())
+                .isEqualTo(TaskState.RUNNING);
+        assertThat(stateAfter(1499)).isEqualTo(TaskState.RUNNING);
+        assertThat(stateAfter(1)).isEqualTo(TaskState.FINISHED);
+        assertThat(start(order(OTHER, 1, "simulate", "--fail")).state())
+                .isEqualTo(TaskState.FAILED);
+        assertThat(executions())
+                .containsExactly(
+                        "start 1 RUNNING", "end 1 FINISHED", "start 1 RUNNING", "end 1 FAILED")
+                .inOrder();
+    }
+
+    /** Guards against a repeated order that runs an attempt a second time. */
+    @Test
+    void startIsIdempotent() {
+        start(order(TASK, 1, "simulate", "--millis", "10"));
+        start(order(TASK, 1, "simulate", "--millis", "10"));
+        assertThat(stateAfter(10)).isEqualTo(TaskState.FINISHED);
+        assertThat(start(order(TASK, 1, "simulate", "--millis", "10")).state())
+                .isEqualTo(TaskState.FINISHED);
+        assertThat(value(mFixture.worker().forget(TASK, 1))).isTrue();
+        assertThat(value(mFixture.worker().forget(TASK, 1))).isFalse();
+        assertThat(kind(mFixture.worker().start(order(TASK, 1, "simulate")))).isEqualTo("Refused");
+        assertThat(executions()).hasSize(2);
+    }
+
+    /** Guards against two attempts of a task at a time, and an earlier one after a later one. */
+    @Test
+    void attemptsOfATaskExcludeEachOther() {
+        start(order(TASK, 2, "simulate"));
+        assertThat(kind(mFixture.worker().start(order(TASK, 3, "simulate")))).isEqualTo("Refused");
+        assertThat(value(mFixture.worker().stop(TASK, 2)).state()).isEqualTo(TaskState.STOPPED);
+        assertThat(kind(mFixture.worker().start(order(TASK, 1, "simulate")))).isEqualTo("Refused");
+        assertThat(start(order(TASK, 3, "simulate")).state()).isEqualTo(TaskState.RUNNING);
+    }
+
+    /** Guards against a VM that is given more than it can hold. */
+    @Test
+    void capacityIsNotExceeded() {
+        start(order(TASK, 1, "simulate"));
+        start(order(OTHER, 1, "simulate"));
+        TaskStart third = order(new TaskId(new JobId("job"), 2), 1, "simulate");
+        assertThat(kind(mFixture.worker().start(third))).isEqualTo("Refused");
+        value(mFixture.worker().stop(OTHER, 1));
+        assertThat(start(third).state()).isEqualTo(TaskState.RUNNING);
+    }
+
+    /** Guards against tasks that outlive their lease, and renewals without effect. */
+    @Test
+    void tasksEndWithTheirLease() {
+        start(order(TASK, 1, "simulate"));
+        assertThat(stateAfter(LEASE_MILLIS - 1)).isEqualTo(TaskState.RUNNING);
+        assertThat(value(mFixture.worker().renew(Duration.ofMillis(LEASE_MILLIS)))).isEqualTo(1);
+        assertThat(stateAfter(LEASE_MILLIS - 1)).isEqualTo(TaskState.RUNNING);
+        assertThat(stateAfter(1)).isEqualTo(TaskState.EXPIRED);
+        assertThat(value(mFixture.worker().renew(Duration.ofMillis(LEASE_MILLIS)))).isEqualTo(0);
+    }
+
+    /** Guards against work that is lost or repeated when a task is resumed. */
+    @Test
+    void checkpointsKeepTheProgress() {
+        String[] command = {"simulate", "--millis", "1000", "--checkpoint-millis", "200"};
+        start(order(TASK, 1, command));
+        mFixture.clock().advance(Duration.ofMillis(600));
+        assertThat(value(mFixture.worker().checkpoint(TASK, 1)).state())
+                .isEqualTo(TaskState.CHECKPOINTING);
+        assertThat(stateAfter(200)).isEqualTo(TaskState.CHECKPOINTED);
+        String checkpoint = status().detail();
+        assertThat(value(mFixture.worker().checkpoint(TASK, 1)).detail()).isEqualTo(checkpoint);
+        value(mFixture.worker().forget(TASK, 1));
+        start(resume(TASK, 2, checkpoint, command));
+        assertThat(stateAfter(399)).isEqualTo(TaskState.RUNNING);
+        assertThat(stateAfter(1)).isEqualTo(TaskState.FINISHED);
+        assertThat(mFixture.backend().executions().getLast().progressMillis()).isEqualTo(1000);
+    }
+
+    /** Guards against throttled tasks that run at full speed, and bad shares. */
+    @Test
+    void throttledTasksRunSlower() {
+        start(order(TASK, 1, "simulate", "--millis", "1000"));
+        mFixture.clock().advance(Duration.ofMillis(500));
+        value(mFixture.worker().throttle(TASK, 1, 0.25));
+        assertThat(stateAfter(1999)).isEqualTo(TaskState.RUNNING);
+        assertThat(stateAfter(1)).isEqualTo(TaskState.FINISHED);
+        assertThat(kind(mFixture.worker().throttle(TASK, 1, 0))).isEqualTo("Refused");
+        assertThat(kind(mFixture.worker().throttle(OTHER, 1, 1))).isEqualTo("Refused");
+    }
+
+    /** Guards against usage samples that are newer than the worker can know. */
+    @Test
+    void usageLagsBehind() {
+        start(order(TASK, 1, "simulate", "--usage", "0.5"));
+        assertThat(value(mFixture.worker().usage())).isEmpty();
+        mFixture.clock().advance(Duration.ofSeconds(5));
+        value(mFixture.worker().throttle(TASK, 1, 0.5));
+        TaskUsage before = value(mFixture.worker().usage()).getFirst();
+        assertThat(before.used().milliCpu()).isEqualTo(250);
+        assertThat(before.sampleAgeMillis()).isEqualTo(5000);
+        mFixture.clock().advance(Duration.ofSeconds(5));
+        assertThat(value(mFixture.worker().usage()).getFirst().used().milliCpu()).isEqualTo(125);
+    }
+
+    /** Guards against bad orders that are taken for lost ones. */
+    @ParameterizedTest
+    @CsvSource({"rm", "simulate --millis", "simulate --millis x", "simulate --other"})
+    void badCommandsAreRefused(String command) {
+        TaskStart start = order(TASK, 1, command.split(" "));
+        assertThat(kind(mFixture.worker().start(start))).isEqualTo("Refused");
+        assertThat(kind(mFixture.worker().start(resume(TASK, 1, "x", "simulate"))))
+                .isEqualTo("Refused");
+        assertThat(value(mFixture.worker().list())).isEmpty();
+    }
+
+    /** Guards against lost answers reported as refusals, and orders whose effect is not kept. */
+    @ParameterizedTest
+    @CsvSource({"AFTER_EFFECT, 1", "BEFORE_EFFECT, 0"})
+    void lostAnswersAreUnknown(AnswerLoss loss, int tasks) {
+        mFixture.backend().faults().loseAnswers(loss, 1);
+        assertThat(kind(mFixture.worker().start(order(TASK, 1, "simulate")))).isEqualTo("Unknown");
+        assertThat(value(mFixture.worker().list())).hasSize(tasks);
+        mFixture.backend().faults().loseAnswers(loss, 1);
+        assertThat(kind(mFixture.worker().list())).isEqualTo("Unavailable");
+        start(order(TASK, 1, "simulate"));
+        assertThat(executions()).hasSize(1);
+    }
+
+    /** Guards against a worker that is down being taken for one that may have acted. */
+    @Test
+    void downIsUnavailableAndTasksRunOn() {
+        start(order(TASK, 1, "simulate", "--millis", "1000"));
+        mFixture.backend().faults().down(true);
+        // The query comes first, as a change on a connection that is being closed may be unknown.
+        assertThat(kind(mFixture.worker().list())).isEqualTo("Unavailable");
+        assertThat(kind(mFixture.worker().stop(TASK, 1))).isEqualTo("Unavailable");
+        mFixture.clock().advance(Duration.ofSeconds(1));
+        mFixture.backend().faults().down(false);
+        assertThat(status().state()).isEqualTo(TaskState.FINISHED);
+    }
+
+    /** Guards against a worker that fails everything being taken for one that refuses. */
+    @Test
+    void failingWorkerFailsEverything() {
+        mFixture.backend().faults().failEverything(true);
+        assertThat(start(order(TASK, 1, "simulate", "--millis", "1000")).state())
+                .isEqualTo(TaskState.FAILED);
+    }
+}
--- a/store/src/main/java/org/knapweedbank/store/etcd/EtcdRequest.java
+++ b/store/src/main/java/org/knapweedbank/store/etcd/EtcdRequest.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.store.etcd;
 
 import io.vertx.core.AsyncResult;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
@@ -43,10 +44,19 @@
         EtcdRequest request = new EtcdRequest(vertx, settings, body, listener);
         long limit = settings.callTimeout().toMillis();
         request.mTimer = vertx.setTimer(limit, ignored -> request.timedOut(limit));
-        client.request(options(endpoint, path)).onComplete(request::connected);
+        open(client, endpoint, path).onComplete(request::connected);
     }
 
-    static RequestOptions options(EtcdEndpoint endpoint, String path) {
+    /** Asks for a connection. A client that was closed meanwhile fails the future. */
+    static Future<HttpClientRequest> open(HttpClient client, EtcdEndpoint endpoint, String path) {
+        try {
+            return client.request(options(endpoint, path));
+        } catch (IllegalStateException e) {
+            return Future.failedFuture(e);
+        }
+    }
+
+    private static RequestOptions options(EtcdEndpoint endpoint, String path) {
         return new RequestOptions()
                 .setMethod(HttpMethod.POST)
                 .setHost(endpoint.host())
--- a/store/src/main/java/org/knapweedbank/store/etcd/EtcdWatch.java
+++ b/store/src/main/java/org/knapweedbank/store/etcd/EtcdWatch.java
@@ -53,7 +53,7 @@
             return;
         }
         int connection = ++mConnection;
-        mClient.request(EtcdRequest.options(mEndpoints.get(mEndpoint), "/v3/watch"))
+        EtcdRequest.open(mClient, mEndpoints.get(mEndpoint), "/v3/watch")
                 .onSuccess(request -> send(request, connection))
                 .onFailure(cause -> failed(connection, EtcdRequest.reason(cause)));
     }
--- a/store/src/test/java/org/knapweedbank/store/etcd/EtcdGatewayFailureTest.java
+++ b/store/src/test/java/org/knapweedbank/store/etcd/EtcdGatewayFailureTest.java
@@ -7,7 +7,9 @@
 import io.vertx.core.net.NetServer;
 import io.vertx.core.net.NetSocket;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.AfterAll;
@@ -15,6 +17,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.knapweedbank.store.KeyRange;
 import org.knapweedbank.store.Operation;
 import org.knapweedbank.store.StoreResult;
 import org.knapweedbank.store.Transaction;
@@ -139,4 +142,18 @@
         store.close();
         assertThat(kind(store.transact(WRITE).await().atMost(LIMIT))).isEqualTo("Unavailable");
     }
+
+    /** Guards against calls under way at the end of the adapter that never complete. */
+    @Test
+    void callsUnderWayEndWithTheAdapter() throws Exception {
+        EtcdGatewayStore store = store(server(socket -> {}), LIMIT);
+        List<CompletableFuture<StoreResult<KeyRange>>> calls = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            calls.add(store.get("/a").subscribeAsCompletionStage());
+        }
+        store.close();
+        for (CompletableFuture<StoreResult<KeyRange>> call : calls) {
+            assertThat(kind(call.get(10, TimeUnit.SECONDS))).isEqualTo("Unavailable");
+        }
+    }
 }
