--- a/entry/src/main/java/org/knapweedbank/entry/http/CallerExchange.java
+++ b/entry/src/main/java/org/knapweedbank/entry/http/CallerExchange.java
@@ -13,7 +13,6 @@
 import java.util.Optional;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.knapweedbank.entry.ClaimResult;
 import org.knapweedbank.entry.ClaimService;
 import org.knapweedbank.entry.upstream.AgentCall;
 import org.knapweedbank.entry.upstream.AgentConnection;
@@ -25,7 +24,11 @@
 import org.knapweedbank.routing.Refusal;
 import org.knapweedbank.routing.RequestPlan;
 import org.knapweedbank.routing.RequestRules;
+import org.knapweedbank.store.claim.Claim;
+import org.knapweedbank.store.claim.ClaimRequest;
+import org.knapweedbank.store.claim.ClaimResult;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.wire.AnswerQuery;
 import org.knapweedbank.wire.HeaderField;
 import org.knapweedbank.wire.Request;
 import org.knapweedbank.wire.ResponseHead;
@@ -59,6 +62,7 @@
     private final Deque<PlanEvent> mEvents = new ArrayDeque<>();
     private final Map<Integer, AgentCall> mCalls = new HashMap<>();
     private final Map<Integer, ResponseHead> mHeads = new HashMap<>();
+    private Claim mClaim;
     private Uni<Boolean> mRelease;
     private boolean mApplying;
     private boolean mEnded;
@@ -67,6 +71,7 @@
     private long mResumeTimer = -1;
     private long mSlowTimer = -1;
     private int mForwarding;
+    private Runnable mOnEnd = () -> {};
 
     /**
      * What all requests of an entry share.
@@ -179,28 +184,48 @@
     }
 
     private void claim(PlanAction.Claim claim) {
+        ClaimRequest request =
+                new ClaimRequest(
+                        mRequest.service(), mRequest.idempotencyKey(), mAttemptId, claim.agent());
         mParts.claims()
-                .claim(mRequest.service(), mRequest.idempotencyKey(), mAttemptId, claim.agent())
+                .claim(request)
                 .subscribe()
                 .with(
-                        result -> onContext(claimEvent(result)),
-                        failure -> onContext(new PlanEvent.ClaimUnknown("the claim failed")));
+                        result -> mContext.runOnContext(ignored -> claimed(result)),
+                        failure ->
+                                mContext.runOnContext(
+                                        ignored ->
+                                                apply(
+                                                        new PlanEvent.ClaimUnknown(
+                                                                "the claim failed"))));
     }
 
-    private static PlanEvent claimEvent(ClaimResult result) {
-        return switch (result) {
-            case ClaimResult.Granted granted -> new PlanEvent.ClaimGranted();
-            case ClaimResult.Held held -> new PlanEvent.ClaimHeld(held.agent(), held.attemptId());
-            case ClaimResult.Unavailable refused ->
-                    new PlanEvent.ClaimUnavailable(refused.reason());
-            case ClaimResult.Unknown unknown -> new PlanEvent.ClaimUnknown(unknown.reason());
-        };
+    private void claimed(ClaimResult result) {
+        PlanEvent event =
+                switch (result) {
+                    case ClaimResult.Granted granted -> {
+                        mClaim = granted.claim();
+                        yield new PlanEvent.ClaimGranted();
+                    }
+                    case ClaimResult.AlreadyClaimed held ->
+                            new PlanEvent.ClaimHeld(held.agent(), held.attemptId());
+                    case ClaimResult.Unavailable refused ->
+                            new PlanEvent.ClaimUnavailable(refused.reason());
+                    case ClaimResult.Unknown unknown -> {
+                        mClaim = unknown.claim();
+                        yield new PlanEvent.ClaimUnknown(unknown.reason());
+                    }
+                };
+        apply(event);
     }
 
     private void release() {
+        if (mClaim == null) {
+            return;
+        }
         mRelease =
                 mParts.claims()
-                        .release(mRequest.service(), mRequest.idempotencyKey(), mAttemptId)
+                        .release(mClaim)
                         .ifNoItem()
                         .after(RELEASE_TIMEOUT)
                         .recoverWithItem(false)
@@ -235,12 +260,23 @@
         call.ifPresent(open -> mCalls.put(attempt, open));
     }
 
-    /**
-     * The wire protocol has no message that reads a recorded answer without running the request, so
-     * the outcome of a used key is always reported as unknown.
-     */
     private void replay(PlanAction.Replay replay) {
-        apply(new PlanEvent.OutcomeUnknown(replay.attempt(), "the key has been used before"));
+        int attempt = replay.attempt();
+        long left = mRules.deadlineNanos() - mParts.clock().monotonicNanos();
+        mParts.routing()
+                .query(
+                        mRequest.service(),
+                        replay.agent(),
+                        attempt,
+                        new Frames(attempt),
+                        id ->
+                                new AnswerQuery(
+                                        id,
+                                        replay.attemptId(),
+                                        mRequest.service(),
+                                        mRequest.idempotencyKey(),
+                                        Math.max(1, left / 1_000_000)))
+                .ifPresent(open -> mCalls.put(attempt, open));
     }
 
     private Request message(long id, int attempt, boolean resume) {
@@ -365,10 +401,6 @@
         return mParts.vertx().setTimer(millis, ignored -> apply(event));
     }
 
-    private void onContext(PlanEvent event) {
-        mContext.runOnContext(ignored -> apply(event));
-    }
-
     private void ended() {
         if (mEnded) {
             return;
@@ -383,8 +415,6 @@
         mOnEnd.run();
     }
 
-    private Runnable mOnEnd = () -> {};
-
     /** Sets what runs once when the request has ended. */
     void onEnd(Runnable action) {
         mOnEnd = action;
