Let the lease times be set, and use one time to live for session and task leases

Cause: the worker lease was a constant of 30 s while the owner counts on the session's time to live twice; with shorter sessions the owner would have placed a task elsewhere while its lease still ran. Change: the agent takes the lease time of its session; entry settings have a control section; quickstart files. Conclusion: the two sides count on the same time.

--- a/agent/src/main/java/org/knapweedbank/agent/PendingCall.java
+++ b/agent/src/main/java/org/knapweedbank/agent/PendingCall.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.agent;
 
 import java.time.Duration;
+import java.util.function.Supplier;
 import org.knapweedbank.time.Clock;
 
 /**
@@ -11,14 +12,14 @@
     private static final Duration LIMIT = Duration.ofSeconds(5);
 
     private final Clock mClock;
-    private final Duration mInterval;
+    private final Supplier<Duration> mInterval;
     private final Duration mRetry;
     private boolean mPending;
     private long mIssuedNanos;
     private long mDueNanos;
     private long mCount;
 
-    PendingCall(Clock clock, Duration interval, Duration retry) {
+    PendingCall(Clock clock, Supplier<Duration> interval, Duration retry) {
         mClock = clock;
         mInterval = interval;
         mRetry = retry;
@@ -48,7 +49,7 @@
             return false;
         }
         mPending = false;
-        mDueNanos = mIssuedNanos + (succeeded ? mInterval : mRetry).toNanos();
+        mDueNanos = mIssuedNanos + (succeeded ? mInterval.get() : mRetry).toNanos();
         return true;
     }
 
--- a/agent/src/main/java/org/knapweedbank/agent/SessionTimer.java
+++ b/agent/src/main/java/org/knapweedbank/agent/SessionTimer.java
@@ -11,10 +11,14 @@
 final class SessionTimer {
     private static final long DRIFT_DIVISOR = 100;
 
+    /** Time to live of a lease before the first session; that of the default settings. */
+    private static final Duration DEFAULT_TTL = Duration.ofSeconds(30);
+
     private final Clock mClock;
     private long mTtlNanos;
     private long mValidUntilNanos;
     private boolean mGranted;
+    private Duration mLeaseTtl = DEFAULT_TTL;
 
     SessionTimer(Clock clock) {
         mClock = clock;
@@ -22,6 +26,7 @@
 
     /** A session was granted in reply to a message sent at the given time. */
     void granted(long sentNanos, Duration ttl) {
+        mLeaseTtl = ttl;
         mTtlNanos = ttl.toNanos() - ttl.toNanos() / DRIFT_DIVISOR;
         if (!mGranted) {
             mGranted = true;
@@ -38,6 +43,14 @@
         }
     }
 
+    /**
+     * Time to live of the task leases at the worker. It is that of the session, as the owner counts
+     * on both when it places the tasks of an unreachable VM elsewhere.
+     */
+    Duration leaseTtl() {
+        return mLeaseTtl;
+    }
+
     boolean everGranted() {
         return mGranted;
     }
--- a/agent/src/main/java/org/knapweedbank/agent/TaskDuty.java
+++ b/agent/src/main/java/org/knapweedbank/agent/TaskDuty.java
@@ -31,11 +31,8 @@
  * it is read every second and resolves results that were lost. Runs on the duty thread.
  */
 final class TaskDuty {
-    /** Lease of a task at the worker. */
-    static final Duration LEASE = Duration.ofSeconds(30);
-
-    /** A third of the lease, so that two renewals may fail. */
-    static final Duration RENEW_INTERVAL = Duration.ofSeconds(10);
+    /** Renewals in the time to live of a lease, so that two may fail. */
+    private static final int RENEWALS_PER_LEASE = 3;
 
     /** A renewal or start is not issued when the session ends sooner than the call may take. */
     static final Duration CALL_MARGIN = Duration.ofSeconds(2);
@@ -49,8 +46,8 @@
     /** Time after which a start without an answer cannot take effect any more. */
     static final Duration START_SETTLE = Duration.ofSeconds(10);
 
-    /** Time for the checkpoints after the end of a session, within the lease of 30 s. */
-    static final Duration CHECKPOINT_TIME = Duration.ofSeconds(20);
+    /** Share of the lease that is left for checkpoints after the end of a session. */
+    private static final double CHECKPOINT_SHARE = 2.0 / 3;
 
     /** Time for a restarted agent to open a session before it checkpoints the tasks it found. */
     static final Duration START_GRACE = Duration.ofSeconds(10);
@@ -94,8 +91,10 @@
         mClock = clock;
         mCalls = new WorkerCalls(executor);
         mReports = reports;
-        mList = new PendingCall(clock, LIST_INTERVAL, LIST_INTERVAL);
-        mRenewal = new PendingCall(clock, RENEW_INTERVAL, CALL_RETRY);
+        mList = new PendingCall(clock, () -> LIST_INTERVAL, LIST_INTERVAL);
+        mRenewal =
+                new PendingCall(
+                        clock, () -> session.leaseTtl().dividedBy(RENEWALS_PER_LEASE), CALL_RETRY);
         mStartedNanos = clock.monotonicNanos();
     }
 
@@ -199,7 +198,7 @@
     /** Renews the leases a last time before the agent ends, so that the next agent finds them. */
     Uni<Void> lastRenewal() {
         return mayRenew()
-                ? mWorker.renew(LEASE).replaceWithVoid().onFailure().recoverWithNull()
+                ? mWorker.renew(mSession.leaseTtl()).replaceWithVoid().onFailure().recoverWithNull()
                 : Uni.createFrom().voidItem();
     }
 
@@ -233,11 +232,15 @@
             LOG.warn("[agent] no session; batch tasks are checkpointed and stopped");
         }
         return Optional.of(
-                now - mEndSeenNanos >= CHECKPOINT_TIME.toNanos()
+                now - mEndSeenNanos >= checkpointNanos()
                         ? HeldAttempt.Order.STOP
                         : HeldAttempt.Order.CHECKPOINT);
     }
 
+    private long checkpointNanos() {
+        return (long) (mSession.leaseTtl().toNanos() * CHECKPOINT_SHARE);
+    }
+
     private void order(TaskId task, int attempt, HeldAttempt.Order order) {
         Optional<HeldAttempt> known = mLedger.find(task, attempt);
         AttemptId id = new AttemptId(task, attempt);
@@ -304,7 +307,7 @@
                         start.task(),
                         start.attempt(),
                         start.resources(),
-                        LEASE.toMillis(),
+                        mSession.leaseTtl().toMillis(),
                         start.command(),
                         start.checkpoint());
         mCalls.call(mWorker.start(order), result -> onStartResult(held, wasUncertain, result));
@@ -471,7 +474,7 @@
     private void renew() {
         long number = mRenewal.issued();
         mCalls.call(
-                mWorker.renew(LEASE),
+                mWorker.renew(mSession.leaseTtl()),
                 result -> {
                     mRenewal.completed(number, result instanceof WorkerResult.Succeeded);
                     logFailure("renewal of the leases", result);
--- a/agent/src/main/java/org/knapweedbank/agent/UsageFeed.java
+++ b/agent/src/main/java/org/knapweedbank/agent/UsageFeed.java
@@ -26,7 +26,7 @@
         mWorker = worker;
         mClock = clock;
         mCalls = new WorkerCalls(executor);
-        mCall = new PendingCall(clock, INTERVAL, INTERVAL);
+        mCall = new PendingCall(clock, () -> INTERVAL, INTERVAL);
     }
 
     void step() {
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/DaemonSettingsFiles.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/DaemonSettingsFiles.java
@@ -12,17 +12,16 @@
         return """
                 {
                   "role": "entry",
-                  "id": "%s",
+                  "daemon": "%s",
                   "dataCentre": "%s",
-                  "advertisedHost": "127.0.0.1",
-                  "callers": "127.0.0.1:%d",
-                  "frames": "127.0.0.1:%d",
-                  "operators": "127.0.0.1:%d",
-                  "store": ["127.0.0.1:%d"],
-                  "operatorKeyFile": "%s",
-                  // Short leases, so that a killed agent's tasks move within the run.
-                  "sessionTtlMillis": 3000,
-                  "maxStoreSilenceMillis": 10000,
+                  "host": "127.0.0.1",
+                  "callers": {"host": "127.0.0.1", "port": %d},
+                  "frames": {"host": "127.0.0.1", "port": %d},
+                  "operators": {"host": "127.0.0.1", "port": %d},
+                  "operatorKeys": "%s",
+                  "store": {"endpoints": ["127.0.0.1:%d"]},
+                  // Short leases, so that the tasks of a killed agent move within the run.
+                  "control": {"sessionTtlMillis": 5000, "maxStoreSilenceMillis": 10000},
                   "drainDelayMillis": 1000
                 }
                 """
@@ -32,8 +31,8 @@
                         entry.callers(),
                         entry.frames(),
                         entry.operators(),
-                        storePort,
-                        folder.resolve("operators.keys"));
+                        folder.resolve("operators.keys"),
+                        storePort);
     }
 
     static String agent(
@@ -49,7 +48,7 @@
         return """
                 {
                   "role": "agent",
-                  "id": "agent-%s",
+                  "daemon": "agent-%s",
                   "vm": "%s",
                   "region": "highlands",
                   "dataCentre": "%s",
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/Deployment.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/Deployment.java
@@ -156,7 +156,7 @@
                         mRoot.resolve("bin/knapweedbankd").toString(),
                         "--config",
                         settings.toString());
-        mProcesses.put(name, ManagedProcess.start(name, command, mFolder, "is ready"));
+        mProcesses.put(name, ManagedProcess.start(name, command, mFolder, "is running"));
     }
 
     void awaitDaemons() throws IOException, InterruptedException {
--- a/control/src/main/java/org/knapweedbank/control/ControlSettings.java
+++ b/control/src/main/java/org/knapweedbank/control/ControlSettings.java
@@ -55,6 +55,26 @@
                 2_000);
     }
 
+    /**
+     * The same settings with other lease times.
+     *
+     * @param ttl time to live of a session
+     * @param silence longest time without contact to the store
+     * @return the settings
+     */
+    public ControlSettings withLeases(Duration ttl, Duration silence) {
+        return new ControlSettings(
+                ttl,
+                silence,
+                permitViewLimit,
+                startReportLimit,
+                replicaWait,
+                retention,
+                takeoverDelay,
+                compactSegments,
+                decisionsPerStep);
+    }
+
     /**
      * Time after the last acknowledged heartbeat at which all leases of a VM have ended: the
      * session and then the task leases at the worker, both with the drift margin.
--- a/daemon/src/main/java/org/knapweedbank/daemon/DaemonSettings.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/DaemonSettings.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.knapweedbank.agent.AgentSettings;
+import org.knapweedbank.control.ControlSettings;
 import org.knapweedbank.entry.CallerLimits;
 import org.knapweedbank.entry.ListenAddress;
 import org.knapweedbank.model.DaemonId;
@@ -23,6 +24,7 @@
      * @param operatorKeys file with the bearer keys of the operators
      * @param storeEndpoints HOST:PORT of each gateway of the key-value service
      * @param limits limits for the requests of callers
+     * @param control times and limits of the control duty
      * @param drainDelay time between the failing health check and the refusal of new requests
      * @param drainTimeout longest time that a graceful stop waits for the requests in flight
      */
@@ -36,6 +38,7 @@
             Path operatorKeys,
             List<String> storeEndpoints,
             CallerLimits limits,
+            ControlSettings control,
             Duration drainDelay,
             Duration drainTimeout)
             implements DaemonSettings {
--- a/daemon/src/main/java/org/knapweedbank/daemon/EmbeddedRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EmbeddedRole.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.Logger;
 import org.knapweedbank.agent.AgentSettings;
 import org.knapweedbank.config.ChangeRequest;
+import org.knapweedbank.control.ControlSettings;
 import org.knapweedbank.entry.CallerLimits;
 import org.knapweedbank.entry.ListenAddress;
 import org.knapweedbank.entry.operator.OperatorKeys;
@@ -79,11 +80,11 @@
                         mKeyFile,
                         List.of(),
                         CallerLimits.DEFAULT,
+                        ControlSettings.defaults(),
                         Duration.ZERO,
                         Duration.ofSeconds(10));
         mEntry =
-                new EntryRole(
-                        settings, OperatorKeys.read(mKeyFile), vertx, clock, store, registry);
+                new EntryRole(settings, OperatorKeys.read(mKeyFile), vertx, clock, store, registry);
         AgentSettings agent =
                 new AgentSettings(
                         new DaemonId("agent-1"),
@@ -148,10 +149,7 @@
                                 mEntry.configurations()
                                         .apply(
                                                 new ChangeRequest(
-                                                        "embedded",
-                                                        OptionalLong.of(0),
-                                                        "",
-                                                        false),
+                                                        "embedded", OptionalLong.of(0), "", false),
                                                 document))
                 .invoke(result -> LOG.info("[daemon] configuration: {}", result))
                 .replaceWithVoid();
--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -12,7 +12,6 @@
 import org.apache.logging.log4j.Logger;
 import org.knapweedbank.config.ConfigurationStore;
 import org.knapweedbank.config.StoreConfigurationSource;
-import org.knapweedbank.control.ControlSettings;
 import org.knapweedbank.control.EntryIdentity;
 import org.knapweedbank.control.PartitionHost;
 import org.knapweedbank.entry.EntryDaemon;
@@ -208,7 +207,7 @@
 
     private PartitionHost partitions(DaemonSettings.Entry settings, MetricRegistry registry) {
         return new PartitionHost(
-                ControlSettings.defaults(),
+                settings.control(),
                 new EntryIdentity(
                         mId, address(settings.host(), settings.frames()), settings.dataCentre()),
                 mClock,
--- a/daemon/src/main/java/org/knapweedbank/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/SettingsReader.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import org.knapweedbank.agent.AgentSettings;
+import org.knapweedbank.control.ControlSettings;
 import org.knapweedbank.entry.CallerLimits;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
@@ -19,6 +20,10 @@
     private static final long MAX_MILLIS = Duration.ofHours(1).toMillis();
     private static final long DEFAULT_DRAIN_DELAY_MILLIS = 5_000;
     private static final long DEFAULT_DRAIN_TIMEOUT_MILLIS = 30_000;
+
+    /** Calls to the worker need two seconds of a session; heartbeats come every second. */
+    private static final long MIN_SESSION_MILLIS = 4_000;
+
     private static final long MAX_MILLI_CPU = 10_000_000;
     private static final long MAX_MEMORY_MB = 100_000_000;
     private static final long MAX_ACCELERATORS = 1_024;
@@ -82,6 +87,7 @@
                 file.toAbsolutePath().resolveSibling(root.text("operatorKeys")),
                 endpoints,
                 limits(root.section("limits")),
+                control(root.section("control")),
                 millis(root, "drainDelayMillis", DEFAULT_DRAIN_DELAY_MILLIS),
                 millis(root, "drainTimeoutMillis", DEFAULT_DRAIN_TIMEOUT_MILLIS));
     }
@@ -113,6 +119,24 @@
         return limits;
     }
 
+    private static ControlSettings control(SettingsSection section) {
+        ControlSettings standard = ControlSettings.defaults();
+        ControlSettings settings =
+                standard.withLeases(
+                        Duration.ofMillis(
+                                section.integer(
+                                        "sessionTtlMillis",
+                                        MIN_SESSION_MILLIS,
+                                        MAX_MILLIS,
+                                        standard.sessionTtl().toMillis())),
+                        millis(
+                                section,
+                                "maxStoreSilenceMillis",
+                                standard.maxStoreSilence().toMillis()));
+        section.checkUnknown();
+        return settings;
+    }
+
     private static DaemonSettings agent(SettingsSection root) {
         SettingsSection capacity = root.section("capacity");
         Resources resources =
