Add the knapweedbank client

Operators need a command line for configuration, data centres and jobs that never makes a wrong claim about a change.

The client has one class for each command and documented exit codes.

--- a/entry/src/main/java/org/knapweedbank/entry/operator/ConfigurationRequests.java
+++ b/entry/src/main/java/org/knapweedbank/entry/operator/ConfigurationRequests.java
@@ -78,7 +78,12 @@
         }
         Optional<ConfigurationHead> head = state.head();
         if (head.isEmpty()) {
-            return OperatorProblem.notFound("no configuration has been applied yet")
+            return OperatorProblem.answer(
+                            404,
+                            "no-configuration",
+                            "No configuration",
+                            "no configuration has been applied yet",
+                            OperatorProblem.NOT_APPLIED)
                     .withGeneration(0);
         }
         if (state.generation().isEmpty()) {
--- /dev/null
+++ b/tools/src/main/java/org/knapweedbank/tools/ClientSettings.java
@@ -0,0 +1,101 @@
+package org.knapweedbank.tools;
+
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Settings of the client.
+ *
+ * @param servers operator listeners, tried in this order
+ * @param keyFile file with the bearer key, or empty
+ * @param timeout time allowed for a connection and for an answer
+ */
+record ClientSettings(List<ServerAddress> servers, Optional<Path> keyFile, Duration timeout) {
+    static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(10);
+    private static final Set<String> FIELDS = Set.of("servers", "keyFile", "timeoutSeconds");
+    private static final ObjectMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(JsonParser.Feature.ALLOW_COMMENTS)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .build();
+
+    static final ClientSettings EMPTY =
+            new ClientSettings(List.of(), Optional.empty(), DEFAULT_TIMEOUT);
+
+    /** Reads a settings file: JSON with comments. */
+    static ClientSettings read(Path file) throws UsageException {
+        JsonNode node;
+        try {
+            node = MAPPER.readTree(Files.readAllBytes(file));
+        } catch (IOException e) {
+            throw new UsageException("settings file " + file + ": " + e.getMessage());
+        }
+        for (Iterator<String> names = node.fieldNames(); names.hasNext(); ) {
+            String name = names.next();
+            if (!FIELDS.contains(name)) {
+                throw new UsageException(
+                        "settings file %s: unknown field %s; accepted: servers, keyFile,"
+                                        .formatted(file, name)
+                                + " timeoutSeconds");
+            }
+        }
+        List<ServerAddress> servers = new ArrayList<>();
+        for (JsonNode server : node.path("servers")) {
+            servers.add(ServerAddress.parse(server.asText()));
+        }
+        Optional<Path> keyFile =
+                Optional.ofNullable(node.path("keyFile").textValue())
+                        .map(name -> file.resolveSibling(name));
+        Duration timeout =
+                node.has("timeoutSeconds")
+                        ? seconds(node.path("timeoutSeconds").asText())
+                        : DEFAULT_TIMEOUT;
+        return new ClientSettings(servers, keyFile, timeout);
+    }
+
+    static Duration seconds(String text) throws UsageException {
+        try {
+            int seconds = Integer.parseInt(text);
+            if (seconds >= 1 && seconds <= 600) {
+                return Duration.ofSeconds(seconds);
+            }
+        } catch (NumberFormatException e) {
+            // Reported below.
+        }
+        throw new UsageException("timeout: found " + text + "; accepted: 1 to 600 seconds");
+    }
+
+    /** The key: the part after the name when the file has the form of the server's key file. */
+    String key() throws UsageException {
+        if (keyFile.isEmpty()) {
+            return "";
+        }
+        try {
+            List<String> lines =
+                    Files.readAllLines(keyFile.get()).stream()
+                            .map(String::strip)
+                            .filter(line -> !line.isEmpty() && !line.startsWith("#"))
+                            .toList();
+            if (lines.size() == 1) {
+                return lines.getFirst().substring(lines.getFirst().indexOf(':') + 1).strip();
+            }
+            throw new UsageException(
+                    "key file %s has %d lines; accepted: one line with KEY or NAME:KEY"
+                            .formatted(keyFile.get(), lines.size()));
+        } catch (IOException e) {
+            throw new UsageException("key file cannot be read: " + e.getMessage());
+        }
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/knapweedbank/tools/DcInCommand.java
@@ -0,0 +1,45 @@
+package org.knapweedbank.tools;
+
+import org.apache.commons.cli.Options;
+
+/** Takes a data centre back into service. */
+final class DcInCommand implements Command {
+    @Override
+    public String name() {
+        return "dc in";
+    }
+
+    @Override
+    public String usage() {
+        return "NAME [--expect GENERATION] [--wait]";
+    }
+
+    @Override
+    public String summary() {
+        return "Takes a data centre back into service.";
+    }
+
+    @Override
+    public String examples() {
+        return String.join("\n", "knapweedbank dc in quito-2", "knapweedbank dc in quito-2 --wait");
+    }
+
+    @Override
+    public ArgumentCount arguments() {
+        return ArgumentCount.exactly(1);
+    }
+
+    @Override
+    public Options options() {
+        return new Options()
+                .addOption(CommandOptions.EXPECT)
+                .addOption(CommandOptions.WAIT)
+                .addOption(CommandOptions.WAIT_TIMEOUT)
+                .addOption(CommandOptions.CONFIRM);
+    }
+
+    @Override
+    public ExitCode run(Invocation invocation) throws UsageException {
+        return DataCentreChange.run(invocation, "in");
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/knapweedbank/tools/HelpText.java
@@ -0,0 +1,48 @@
+package org.knapweedbank.tools;
+
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+
+/** Help of the client and of each command. */
+final class HelpText {
+    private HelpText() {}
+
+    static String overview() {
+        StringBuilder text = new StringBuilder("usage: knapweedbank COMMAND [OPTIONS]\n\n");
+        for (Command command : Commands.ALL) {
+            text.append("  %-13s %s%n".formatted(command.name(), command.summary()));
+        }
+        text.append("\nOptions of all commands:\n").append(options(ClientOptions.common()));
+        return text.append(exitCodes()).toString();
+    }
+
+    static String of(Command command) {
+        StringBuilder text = new StringBuilder();
+        text.append("usage: knapweedbank %s %s".formatted(command.name(), command.usage()).strip());
+        text.append("\n\n").append(command.summary()).append("\n\nExamples:\n");
+        command.examples().lines().forEach(line -> text.append("  ").append(line).append('\n'));
+        if (!command.options().getOptions().isEmpty()) {
+            text.append("\nOptions:\n").append(options(command.options()));
+        }
+        text.append("\nOptions of all commands:\n").append(options(ClientOptions.common()));
+        return text.append(exitCodes()).toString();
+    }
+
+    private static String options(Options options) {
+        StringBuilder text = new StringBuilder();
+        for (Option option : options.getOptions()) {
+            String argument = option.hasArg() ? " " + option.getArgName() : "";
+            String name = "--" + option.getLongOpt() + argument;
+            text.append("  %-26s %s%n".formatted(name, option.getDescription()));
+        }
+        return text.toString();
+    }
+
+    private static String exitCodes() {
+        return """
+
+                Exit codes: 0 done, 1 refused or errors, 2 usage, 3 conflict, 4 outcome unknown,
+                5 unreachable.
+                """;
+    }
+}
--- /dev/null
+++ b/tools/src/main/java/org/knapweedbank/tools/LocalFiles.java
@@ -0,0 +1,46 @@
+package org.knapweedbank.tools;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import org.knapweedbank.config.ConfigurationLimits;
+import org.knapweedbank.config.ConfigurationMerger;
+import org.knapweedbank.config.ConfigurationParser;
+import org.knapweedbank.config.MergeResult;
+
+/** Reads and merges configuration files. */
+final class LocalFiles {
+    private LocalFiles() {}
+
+    /** Merges BASE and OVERLAY and prints errors and warnings. */
+    static MergeResult merge(List<String> names, Output output) throws UsageException {
+        ConfigurationParser parser = new ConfigurationParser();
+        byte[] base = read(names.getFirst());
+        byte[] overlay = names.size() > 1 ? read(names.get(1)) : new byte[0];
+        MergeResult merged =
+                new ConfigurationMerger(parser)
+                        .merge(
+                                parser.parseBase(names.getFirst(), base),
+                                names.size() > 1
+                                        ? Optional.of(parser.parseOverlay(names.get(1), overlay))
+                                        : Optional.empty());
+        merged.errors().forEach(error -> output.message(error.toString()));
+        merged.warnings().forEach(warning -> output.message(warning.toString()));
+        return merged;
+    }
+
+    static byte[] read(String name) throws UsageException {
+        Path file = Path.of(name);
+        try {
+            if (Files.size(file) > ConfigurationLimits.MAX_BYTES) {
+                throw new UsageException(
+                        name + " is larger than " + ConfigurationLimits.MAX_BYTES + " bytes");
+            }
+            return Files.readAllBytes(file);
+        } catch (IOException e) {
+            throw new UsageException(name + " cannot be read: " + e);
+        }
+    }
+}
