Ask the worker of an expired VM before its attempts are taken for lost

Cause: a task that finished at its worker after its agent was killed would have been placed again and run a second time.

A Goodbye from an agent is no longer logged as unexpected. Conclusion: killing an agent no longer doubles work whose end the worker knows.

--- a/agent/src/main/java/org/knapweedbank/agent/AgentSettings.java
+++ b/agent/src/main/java/org/knapweedbank/agent/AgentSettings.java
@@ -19,6 +19,7 @@
  * @param dataPort port for requests, or 0 for any free port
  * @param announcePort loopback port for announcements of upstreams, or 0 for any free port
  * @param seeds HOST:PORT of entries, usually the load balancer
+ * @param workerAddress HOST:PORT of the VM's worker, or empty if other VMs cannot reach it
  */
 public record AgentSettings(
         DaemonId daemon,
@@ -30,7 +31,8 @@
         String host,
         int dataPort,
         int announcePort,
-        List<String> seeds) {
+        List<String> seeds,
+        String workerAddress) {
     /** Checks the ranges and copies the list. */
     public AgentSettings {
         if (seeds.isEmpty()) {
@@ -41,4 +43,43 @@
         }
         seeds = List.copyOf(seeds);
     }
+
+    /**
+     * Settings of an agent whose worker other VMs cannot reach.
+     *
+     * @param daemon identifier of the agent
+     * @param vm worker VM beside the agent
+     * @param region region of the VM
+     * @param dataCentre data centre of the VM
+     * @param rack rack of the VM
+     * @param capacity capacity of the VM
+     * @param host IP address on which entries reach the agent
+     * @param dataPort port for requests, or 0 for any free port
+     * @param announcePort port for announcements, or 0 for any free port
+     * @param seeds HOST:PORT of entries
+     */
+    public AgentSettings(
+            DaemonId daemon,
+            VmId vm,
+            String region,
+            DataCentreId dataCentre,
+            String rack,
+            Resources capacity,
+            String host,
+            int dataPort,
+            int announcePort,
+            List<String> seeds) {
+        this(
+                daemon,
+                vm,
+                region,
+                dataCentre,
+                rack,
+                capacity,
+                host,
+                dataPort,
+                announcePort,
+                seeds,
+                "");
+    }
 }
--- a/agent/src/main/java/org/knapweedbank/agent/SessionDuty.java
+++ b/agent/src/main/java/org/knapweedbank/agent/SessionDuty.java
@@ -126,7 +126,8 @@
                             mSettings.capacity(),
                             mDataAddress,
                             mConfig.generation(),
-                            mTasks.held()));
+                            mTasks.held(),
+                            mSettings.workerAddress()));
         }
     }
 
--- a/control/src/main/java/org/knapweedbank/control/JournalRecord.java
+++ b/control/src/main/java/org/knapweedbank/control/JournalRecord.java
@@ -19,6 +19,8 @@
     @JsonSubTypes.Type(value = JournalRecord.TaskPlaced.class, name = "p"),
     @JsonSubTypes.Type(value = JournalRecord.TaskEnded.class, name = "e"),
     @JsonSubTypes.Type(value = JournalRecord.TaskReplaced.class, name = "x"),
+    @JsonSubTypes.Type(value = JournalRecord.VmRegistered.class, name = "v"),
+    @JsonSubTypes.Type(value = JournalRecord.VmForgotten.class, name = "f"),
     @JsonSubTypes.Type(value = JournalRecord.JobSnapshot.class, name = "j")
 })
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -94,6 +96,23 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record TaskReplaced(TaskId task, TaskId successor) implements JournalRecord {}
 
+    /**
+     * A VM has told the address of its worker.
+     *
+     * @param vm the VM
+     * @param workerAddress HOST:PORT of its worker
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record VmRegistered(VmId vm, String workerAddress) implements JournalRecord {}
+
+    /**
+     * All leases of a VM have ended and its tasks have been dealt with.
+     *
+     * @param vm the VM
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record VmForgotten(VmId vm) implements JournalRecord {}
+
     /**
      * Whole state of a job, as part of a snapshot.
      *
--- a/control/src/main/java/org/knapweedbank/control/OwnedPartition.java
+++ b/control/src/main/java/org/knapweedbank/control/OwnedPartition.java
@@ -1,12 +1,16 @@
 package org.knapweedbank.control;
 
 import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.knapweedbank.store.journal.JournalOutcome;
 import org.knapweedbank.store.journal.PartitionJournal;
 import org.knapweedbank.store.lease.Ownership;
+import org.knapweedbank.worker.TaskStatus;
+import org.knapweedbank.worker.WorkerResult;
 
 /** A partition that this entry owns: ownership, journal, controller and open replies. */
 final class OwnedPartition implements ControllerOutput {
@@ -14,6 +18,7 @@
     private final PartitionJournal mJournal;
     private final Consumer<Runnable> mOnControlThread;
     private final Consumer<OwnedPartition> mFenced;
+    private final WorkerLists mWorkers;
     private final AtomicInteger mPendingAppends = new AtomicInteger();
     private final Set<PendingReply<?>> mReplies = new HashSet<>();
     private PartitionController mController;
@@ -22,11 +27,13 @@
             Ownership ownership,
             PartitionJournal journal,
             Consumer<Runnable> onControlThread,
-            Consumer<OwnedPartition> fenced) {
+            Consumer<OwnedPartition> fenced,
+            WorkerLists workers) {
         mOwnership = ownership;
         mJournal = journal;
         mOnControlThread = onControlThread;
         mFenced = fenced;
+        mWorkers = workers;
     }
 
     void setController(PartitionController controller) {
@@ -72,6 +79,21 @@
         return mPendingAppends.get();
     }
 
+    @Override
+    public void listWorker(String address, Consumer<Optional<List<TaskStatus>>> reply) {
+        mWorkers.list(address)
+                .subscribe()
+                .with(
+                        result -> mOnControlThread.accept(() -> reply.accept(attempts(result))),
+                        failure -> mOnControlThread.accept(() -> reply.accept(Optional.empty())));
+    }
+
+    private static Optional<List<TaskStatus>> attempts(WorkerResult<List<TaskStatus>> result) {
+        return result instanceof WorkerResult.Succeeded<List<TaskStatus>>(List<TaskStatus> list)
+                ? Optional.of(list)
+                : Optional.empty();
+    }
+
     /** Writes a snapshot when the log has grown long. */
     void compactAfter(int segments) {
         if (mJournal.segments() >= segments) {
--- a/control/src/main/java/org/knapweedbank/control/PartitionContext.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionContext.java
@@ -1,14 +1,17 @@
 package org.knapweedbank.control;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.knapweedbank.config.SiteConfiguration;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.VmId;
 import org.knapweedbank.scheduling.TaskScheduler;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.worker.TaskStatus;
 
 /** What the parts of a partition controller share. Used by one thread. */
 final class PartitionContext {
@@ -122,6 +125,11 @@
         return taken;
     }
 
+    /** Asks the worker of a VM for the attempts that it knows. */
+    void listWorker(String address, Consumer<Optional<List<TaskStatus>>> reply) {
+        mOutput.listWorker(address, reply);
+    }
+
     /** Session of the VM that holds the present attempt of a task, if it is connected. */
     Optional<VmSession> connectedSession(TaskEntry task) {
         return Optional.ofNullable(task.vm()).map(mSessions::get).filter(VmSession::isConnected);
--- a/control/src/main/java/org/knapweedbank/control/PartitionController.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionController.java
@@ -250,7 +250,7 @@
     /**
      * State with the effect of all records appended so far.
      *
-     * @return one record for each job
+     * @return one record for each job and each VM
      */
     public List<JournalRecord> snapshot() {
         return mContext.state().snapshot();
--- a/control/src/main/java/org/knapweedbank/control/PartitionHost.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionHost.java
@@ -58,6 +58,7 @@
     private final OwnershipStore mOwnerships;
     private final JournalFactory mJournals;
     private final SchedulerFactory mSchedulers;
+    private final WorkerLists mWorkers;
     private final Supplier<OptionalLong> mLease;
     private final ControlCounters mCounters;
     private final DutyThread mThread;
@@ -82,6 +83,7 @@
      * @param ownerships decides about owners
      * @param journals opens journals
      * @param schedulers creates task schedulers
+     * @param workers reads the lists of workers whose agents are gone
      * @param lease store lease of this entry while it is held
      * @param metrics receives the counters
      */
@@ -94,6 +96,7 @@
             OwnershipStore ownerships,
             JournalFactory journals,
             SchedulerFactory schedulers,
+            WorkerLists workers,
             Supplier<OptionalLong> lease,
             MetricRegistry metrics) {
         mSettings = settings;
@@ -104,6 +107,7 @@
         mOwnerships = ownerships;
         mJournals = journals;
         mSchedulers = schedulers;
+        mWorkers = workers;
         mLease = lease;
         mCounters = new ControlCounters(metrics);
         mThread = new DutyThread("control", RING_CAPACITY, this::step, STEP);
@@ -408,7 +412,8 @@
                         ownership,
                         journal,
                         this::complete,
-                        fenced -> drop(fenced, "another entry has taken it"));
+                        fenced -> drop(fenced, "another entry has taken it"),
+                        mWorkers);
         PartitionController controller =
                 new PartitionController(
                         partition,
--- a/control/src/main/java/org/knapweedbank/control/PartitionState.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionState.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.knapweedbank.model.JobId;
@@ -29,8 +30,14 @@
     private static final Logger LOG = LogManager.getLogger(PartitionState.class);
 
     private final Map<JobId, JobEntry> mJobs = new LinkedHashMap<>();
+    private final Map<VmId, String> mWorkers = new LinkedHashMap<>();
     private final Map<VmId, Set<TaskEntry>> mTasksByVm = new LinkedHashMap<>();
 
+    /** Address of the worker of a VM, or empty. */
+    String workerAddress(VmId vm) {
+        return mWorkers.getOrDefault(vm, "");
+    }
+
     Optional<JobEntry> job(JobId id) {
         return Optional.ofNullable(mJobs.get(id));
     }
@@ -68,6 +75,8 @@
             case JournalRecord.TaskEnded ended -> withTask(ended.task(), task -> end(task, ended));
             case JournalRecord.TaskReplaced replaced ->
                     withTask(replaced.task(), task -> replace(task, replaced.successor()));
+            case JournalRecord.VmRegistered vm -> mWorkers.put(vm.vm(), vm.workerAddress());
+            case JournalRecord.VmForgotten vm -> mWorkers.remove(vm.vm());
             case JournalRecord.JobSnapshot snapshot -> restore(snapshot);
         }
     }
@@ -85,9 +94,13 @@
         };
     }
 
-    /** One record for each job, from which {@link #apply} restores the state. */
+    /** One record for each job and VM, from which {@link #apply} restores the state. */
     List<JournalRecord> snapshot() {
-        return mJobs.values().stream().map(PartitionState::snapshot).toList();
+        Stream<JournalRecord> jobs = mJobs.values().stream().map(PartitionState::snapshot);
+        Stream<JournalRecord> vms =
+                mWorkers.entrySet().stream()
+                        .map(vm -> new JournalRecord.VmRegistered(vm.getKey(), vm.getValue()));
+        return Stream.concat(jobs, vms).toList();
     }
 
     private static JournalRecord snapshot(JobEntry job) {
--- a/control/src/main/java/org/knapweedbank/control/VmSession.java
+++ b/control/src/main/java/org/knapweedbank/control/VmSession.java
@@ -27,6 +27,8 @@
     private long mListRequestedNanos;
     private boolean mListRequested;
     private boolean mDigestDiffers;
+    private boolean mWorkerAsked;
+    private int mWorkerFailures;
 
     /** Creates the session of a VM that has not been heard of since the takeover. */
     VmSession(VmId vm, long expiresAtNanos) {
@@ -46,6 +48,8 @@
         mCapacity = capacity;
         mHeartbeatSeq = 0;
         mListRequested = false;
+        mWorkerAsked = false;
+        mWorkerFailures = 0;
         renew(nowNanos, expiry);
     }
 
@@ -129,6 +133,21 @@
         mDigestDiffers = differs;
     }
 
+    /** True while an answer of the VM's worker is waited for. */
+    boolean isWorkerAsked() {
+        return mWorkerAsked;
+    }
+
+    void setWorkerAsked(boolean asked) {
+        mWorkerAsked = asked;
+    }
+
+    /** Counts a call to the worker without an answer and returns their number. */
+    int countWorkerFailure() {
+        mWorkerFailures++;
+        return mWorkerFailures;
+    }
+
     long expiresAtNanos() {
         return mExpiresAtNanos;
     }
--- a/control/src/test/java/org/knapweedbank/control/FakeJournal.java
+++ b/control/src/test/java/org/knapweedbank/control/FakeJournal.java
@@ -4,6 +4,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.knapweedbank.worker.TaskStatus;
 
 /** Journal whose commits happen when the test says so. */
 final class FakeJournal implements ControllerOutput {
@@ -11,6 +14,7 @@
     private final Deque<JournalRecord> mWaiting = new ArrayDeque<>();
     private final Deque<Runnable> mCallbacks = new ArrayDeque<>();
     private boolean mFull;
+    private Optional<List<TaskStatus>> mWorkerAnswer = Optional.empty();
 
     @Override
     public boolean append(JournalRecord record, Runnable committed) {
@@ -28,6 +32,15 @@
         return mWaiting.size();
     }
 
+    @Override
+    public void listWorker(String address, Consumer<Optional<List<TaskStatus>>> reply) {
+        reply.accept(mWorkerAnswer);
+    }
+
+    void setWorkerAnswer(TaskStatus... statuses) {
+        mWorkerAnswer = Optional.of(List.of(statuses));
+    }
+
     void setFull(boolean full) {
         mFull = full;
     }
--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -97,7 +97,7 @@
         long incarnation = clock.wallTime().toEpochMilli();
         mConfigurations = new ConfigurationStore(store, clock, mId + "-" + incarnation);
         mLease = lease(settings, incarnation);
-        mPartitions = partitions(settings, registry);
+        mPartitions = partitions(settings, vertx, registry);
         EntryParts parts =
                 new EntryParts(
                         mSource,
@@ -205,7 +205,8 @@
                 new LeaseLog());
     }
 
-    private PartitionHost partitions(DaemonSettings.Entry settings, MetricRegistry registry) {
+    private PartitionHost partitions(
+            DaemonSettings.Entry settings, Vertx vertx, MetricRegistry registry) {
         return new PartitionHost(
                 settings.control(),
                 new EntryIdentity(
@@ -220,6 +221,7 @@
                                 SchedulerSettings.defaults(),
                                 mClock,
                                 RandomSource.XO_RO_SHI_RO_128_PP.create()),
+                new HttpWorkerLists(vertx),
                 mLease::leaseId,
                 registry);
     }
--- a/daemon/src/main/java/org/knapweedbank/daemon/SettingsReader.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/SettingsReader.java
@@ -145,6 +145,7 @@
                         capacity.integer("memoryMb", 1, MAX_MEMORY_MB),
                         (int) capacity.integer("accelerators", 0, MAX_ACCELERATORS, 0));
         capacity.checkUnknown();
+        String worker = root.address("worker");
         AgentSettings settings =
                 new AgentSettings(
                         new DaemonId(root.name("daemon")),
@@ -156,8 +157,9 @@
                         root.host("host"),
                         root.port("dataPort"),
                         root.port("announcePort"),
-                        root.addresses("seeds"));
-        return new DaemonSettings.Agent(settings, root.address("worker"));
+                        root.addresses("seeds"),
+                        worker);
+        return new DaemonSettings.Agent(settings, worker);
     }
 
     private static Duration millis(SettingsSection section, String name, long missing) {
--- a/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
+++ b/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
@@ -13,6 +13,7 @@
 import org.knapweedbank.wire.FrameConnection;
 import org.knapweedbank.wire.FrameServer;
 import org.knapweedbank.wire.FrameTimeouts;
+import org.knapweedbank.wire.Goodbye;
 import org.knapweedbank.wire.Heartbeat;
 import org.knapweedbank.wire.Message;
 import org.knapweedbank.wire.OperatorCall;
@@ -113,6 +114,7 @@
             }
             case TaskList list -> mControl.received(agent, list);
             case TaskReport report -> mControl.received(agent, report);
+            case Goodbye goodbye -> agent.close(goodbye.reason());
             default -> {
                 LOG.warn("[entry] agent {} sent an unexpected {}", agent.agent(), name(message));
                 agent.close("unexpected message");
