Add quarantine of failing workers and interference control

Both were missing: a worker that failed everything kept its tasks, and services had no protection from batch tasks on their VM.

QuarantineTracker weighs failures by what is known of the job, bounds the share of quarantined workers and retests after growing intervals. PairPenalties learns which classes interfere, and placement counts it as a cost.

--- a/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
@@ -12,15 +12,18 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.JobKind;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
+import org.knapweedbank.scheduling.interference.InterferenceControl;
+import org.knapweedbank.scheduling.interference.PairPenalties;
 import org.knapweedbank.scheduling.placement.CapacityLedger;
 import org.knapweedbank.scheduling.placement.LedgerTask;
-import org.knapweedbank.scheduling.placement.PairCosts;
 import org.knapweedbank.scheduling.placement.UsageEstimates;
 import org.knapweedbank.scheduling.placement.VmSelector;
 import org.knapweedbank.scheduling.placement.VmSlot;
+import org.knapweedbank.scheduling.quarantine.QuarantineTracker;
 import org.knapweedbank.scheduling.quota.PendingQueues;
 import org.knapweedbank.scheduling.quota.Reservation;
 import org.knapweedbank.scheduling.quota.ShapeQueue;
@@ -54,6 +57,8 @@
     private final VmSelector mSelector;
     private final VictimSelector mVictims;
     private final UsageEstimates mEstimates = new UsageEstimates();
+    private final InterferenceControl mInterference;
+    private final QuarantineTracker mQuarantine;
     private final WaitExplainer mExplainer;
     private final Map<TaskId, Reservation> mReservations = new LinkedHashMap<>();
 
@@ -81,12 +86,14 @@
             SchedulerSettings settings, Clock clock, UniformRandomProvider random) {
         mSettings = settings;
         mClock = clock;
-        PairCosts costs = PairCosts.NONE;
+        PairPenalties costs = new PairPenalties(clock);
+        mInterference = new InterferenceControl(clock, costs);
+        mQuarantine = new QuarantineTracker(clock, random);
         mLedger =
                 new CapacityLedger(
                         clock, costs, settings.capacityMemory().toNanos(), this::noteGrowth);
         mQueues = new PendingQueues(clock, settings.shareMode());
-        mSelector = new VmSelector(mLedger, costs, (job, slot) -> false);
+        mSelector = new VmSelector(mLedger, costs, this::failedOn);
         mVictims = new VictimSelector(mLedger, team -> mQueues.team(team).overQuota(), clock);
         mExplainer = new WaitExplainer(mLedger, mQueues);
     }
@@ -94,11 +101,14 @@
     @Override
     public void putVm(VmDescription vm) {
         mLedger.putVm(vm);
+        mLedger.setQuarantined(vm.id(), !mQuarantine.takesTasks(vm.id()));
         mQueues.setTotal(mLedger.catalog().total());
     }
 
     @Override
     public void removeVm(VmId vm) {
+        mQuarantine.forget(vm);
+        mInterference.forget(vm);
         mLedger.removeVm(vm);
         mQueues.setTotal(mLedger.catalog().total());
     }
@@ -185,6 +195,7 @@
     @Override
     public List<SchedulingDecision> schedule(int limit) {
         List<SchedulingDecision> decisions = new ArrayList<>();
+        mQuarantine.advance().forEach(this::applyVerdict);
         serveReservations(decisions, limit);
         reconsiderAfterEstimates();
         mQueues.unblockUrgent(MAX_URGENT_RETRIES);
@@ -271,6 +282,9 @@
     private void place(
             PendingTask task, VmSlot slot, Resources need, List<SchedulingDecision> decisions) {
         hold(task, slot.id(), need);
+        if (mQuarantine.notePlacement(slot.id())) {
+            applyVerdict(slot.id());
+        }
         decisions.add(new SchedulingDecision.Place(task, slot.id(), need));
     }
 
@@ -350,11 +364,27 @@
         mLedger.withdrawPromise(reservation.slot(), reservation.need());
     }
 
+    private void applyVerdict(VmId vm) {
+        mLedger.setQuarantined(vm, !mQuarantine.takesTasks(vm));
+    }
+
+    private boolean failedOn(JobId job, VmSlot slot) {
+        return mQuarantine.failedOn(job, slot.id());
+    }
+
     @Override
-    public void recordSuccess(TaskId task, VmId vm) {}
+    public void recordSuccess(TaskId task, VmId vm) {
+        mQuarantine.recordSuccess(task.job(), vm);
+        applyVerdict(vm);
+    }
 
     @Override
-    public void recordFailure(TaskId task, VmId vm) {}
+    public void recordFailure(TaskId task, VmId vm) {
+        List<VmId> suspects = mQuarantine.suspects();
+        mQuarantine.recordFailure(task.job(), vm, mLedger.slots().size());
+        suspects.forEach(this::applyVerdict);
+        applyVerdict(vm);
+    }
 
     @Override
     public void recordUsage(UsageObservation sample) {
@@ -363,14 +393,24 @@
             return;
         }
         PendingTask task = held.task();
-        if (mEstimates.record(task.taskClass(), task.resources(), sample.used())) {
+        if (task.kind() == JobKind.SERVICE && sample.objectiveMicros() > 0) {
+            mInterference.accept(held, sample);
+        }
+        if (!mInterference.throttled(held)
+                && mEstimates.record(task.taskClass(), task.resources(), sample.used())) {
             mEstimatesChanged = true;
         }
     }
 
     @Override
     public List<InterferenceAction> controlInterference() {
-        return List.of();
+        List<InterferenceAction> actions = mInterference.decide();
+        for (InterferenceAction action : actions) {
+            if (action instanceof InterferenceAction.Evict evict) {
+                mLedger.markEnding(mLedger.find(evict.task()));
+            }
+        }
+        return actions;
     }
 
     @Override
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/placement/VmSlot.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/placement/VmSlot.java
@@ -48,6 +48,16 @@
         return mTasks.values();
     }
 
+    /**
+     * Tells whether a task holds resources here.
+     *
+     * @param task the task
+     * @return true if it does
+     */
+    public boolean holds(TaskId task) {
+        return mTasks.containsKey(task);
+    }
+
     /**
      * Capacity of the VM.
      *
--- /dev/null
+++ b/scheduling/src/test/java/org/knapweedbank/scheduling/quarantine/QuarantineTrackerTest.java
@@ -0,0 +1,85 @@
+package org.knapweedbank.scheduling.quarantine;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.VmId;
+import org.knapweedbank.time.ManualClock;
+
+class QuarantineTrackerTest {
+    private static final int VMS = 20;
+    private static final VmId BAD = new VmId("bad");
+
+    private final ManualClock mClock = new ManualClock();
+    private final QuarantineTracker mTracker =
+            new QuarantineTracker(mClock, RandomSource.XO_SHI_RO_256_PP.create(1L));
+
+    private void failOnBad(int jobs) {
+        for (int i = 0; i < jobs; i++) {
+            JobId job = new JobId("job" + i);
+            mTracker.recordSuccess(job, new VmId("good"));
+            mTracker.recordFailure(job, BAD, VMS);
+        }
+    }
+
+    /** Guards against one job's failures putting a worker into quarantine. */
+    @Test
+    void needsEvidenceOfDifferentJobs() {
+        for (int i = 0; i < 10; i++) {
+            failOnBad(1);
+        }
+        assertThat(mTracker.verdict(BAD)).isEqualTo(VmVerdict.HEALTHY);
+        failOnBad(2);
+        assertThat(mTracker.verdict(BAD)).isEqualTo(VmVerdict.QUARANTINED);
+        assertThat(mTracker.takesTasks(BAD)).isFalse();
+    }
+
+    /** Guards against jobs that fail everywhere putting workers into quarantine. */
+    @Test
+    void doesNotBlameWorkersForBrokenJobs() {
+        for (int j = 0; j < 6; j++) {
+            for (int v = 0; v < VMS; v++) {
+                mTracker.recordFailure(new JobId("broken" + j), new VmId("v" + v), VMS);
+            }
+        }
+        assertThat(mTracker.suspects()).isEmpty();
+    }
+
+    /** Guards against a fault of the whole fleet putting most workers into quarantine. */
+    @Test
+    void boundsTheShareOfQuarantinedWorkers() {
+        for (int v = 0; v < VMS; v++) {
+            for (int j = 0; j < 4; j++) {
+                JobId job = new JobId("job" + j);
+                mTracker.recordSuccess(job, new VmId("good"));
+                mTracker.recordFailure(job, new VmId("v" + v), VMS);
+            }
+        }
+        assertThat(mTracker.suspects()).hasSize(4);
+    }
+
+    /** Guards against a worker that stays out for ever, or returns without a test. */
+    @Test
+    void retestsAfterGrowingIntervals() {
+        failOnBad(2);
+        mClock.advance(Duration.ofSeconds(50));
+        assertThat(mTracker.advance()).isEmpty();
+        mClock.advance(Duration.ofSeconds(20));
+        assertThat(mTracker.advance()).containsExactly(BAD);
+        assertThat(mTracker.takesTasks(BAD)).isTrue();
+        assertThat(mTracker.notePlacement(BAD)).isTrue();
+        assertThat(mTracker.takesTasks(BAD)).isFalse();
+        mTracker.recordFailure(new JobId("job9"), BAD, VMS);
+        mClock.advance(Duration.ofSeconds(100));
+        assertThat(mTracker.advance()).isEmpty();
+        mClock.advance(Duration.ofSeconds(40));
+        assertThat(mTracker.advance()).containsExactly(BAD);
+        mTracker.notePlacement(BAD);
+        mTracker.recordSuccess(new JobId("job9"), BAD);
+        assertThat(mTracker.verdict(BAD)).isEqualTo(VmVerdict.HEALTHY);
+        assertThat(mTracker.takesTasks(BAD)).isTrue();
+    }
+}
