--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -7,12 +7,18 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
+import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.UrgentStart;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
 public final class BenchmarkRunner {
     private static final List<Benchmark> BENCHMARKS =
-            List.of(new PlacementThroughput(), new PlacementLatency());
+            List.of(
+                    new PlacementThroughput(),
+                    new PlacementLatency(),
+                    new PlacementQuality(),
+                    new UrgentStart());
 
     private BenchmarkRunner() {}
 
