Start the client without a network stack where none is needed

The client opened event loops and printed warnings of the network library for commands that only read files.

--- a/tools/src/main/java/org/knapweedbank/tools/DiffCommand.java
+++ b/tools/src/main/java/org/knapweedbank/tools/DiffCommand.java
@@ -25,9 +25,7 @@
 
     @Override
     public String examples() {
-        return String.join(
-                "\n",
-                "knapweedbank diff conf/base.json conf/quito.json --server 10.0.0.5:7003 --key-file key");
+        return "knapweedbank diff conf/base.json conf/quito.json --server 10.0.0.5:7003";
     }
 
     @Override
--- a/tools/src/main/java/org/knapweedbank/tools/HttpOperatorServer.java
+++ b/tools/src/main/java/org/knapweedbank/tools/HttpOperatorServer.java
@@ -27,26 +27,24 @@
     private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
 
     private final ObjectMapper mMapper = new ObjectMapper();
-    private final Vertx mVertx =
-            Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
-    private final HttpClient mClient;
     private final List<ServerAddress> mServers;
     private final String mKey;
     private final Duration mTimeout;
 
+    /** Created with the first request, as some commands need no server. */
+    private Vertx mVertx;
+
+    private HttpClient mClient;
+
     HttpOperatorServer(List<ServerAddress> servers, String key, Duration timeout) {
         mServers = List.copyOf(servers);
         mKey = key;
         mTimeout = timeout;
-        mClient =
-                mVertx.createHttpClient(
-                        new HttpClientOptions()
-                                .setConnectTimeout((int) timeout.toMillis())
-                                .setKeepAlive(false));
     }
 
     @Override
     public ServerAnswer call(String method, String path, byte[] body) {
+        open();
         StringBuilder reasons = new StringBuilder();
         for (ServerAddress server : mServers) {
             HttpClientRequest request;
@@ -62,6 +60,18 @@
         return new ServerAnswer.NotSent(reasons.toString());
     }
 
+    private void open() {
+        if (mVertx != null) {
+            return;
+        }
+        mVertx = Vertx.vertx(new VertxOptions().setEventLoopPoolSize(1).setWorkerPoolSize(1));
+        mClient =
+                mVertx.createHttpClient(
+                        new HttpClientOptions()
+                                .setConnectTimeout((int) mTimeout.toMillis())
+                                .setKeepAlive(false));
+    }
+
     private RequestOptions options(ServerAddress server, String method, String path) {
         RequestOptions options =
                 new RequestOptions()
@@ -79,19 +89,16 @@
 
     private ServerAnswer send(ServerAddress server, HttpClientRequest request, byte[] body) {
         try {
-            var answer =
-                    await(
-                            request.send(Buffer.buffer(body))
-                                    .compose(
-                                            response ->
-                                                    response.body()
-                                                            .map(
-                                                                    bytes ->
-                                                                            read(
-                                                                                    response
-                                                                                            .statusCode(),
-                                                                                    bytes))));
-            return answer;
+            return await(
+                    request.send(Buffer.buffer(body))
+                            .compose(
+                                    response ->
+                                            response.body()
+                                                    .map(
+                                                            bytes ->
+                                                                    read(
+                                                                            response.statusCode(),
+                                                                            bytes))));
         } catch (IOException e) {
             request.reset();
             return new ServerAnswer.Lost(server + ": " + e.getMessage());
@@ -133,6 +140,9 @@
 
     @Override
     public void close() {
+        if (mVertx == null) {
+            return;
+        }
         mVertx.close().toCompletionStage().toCompletableFuture().join();
     }
 }
