Grant no session after the limit of store silence

Cause: an owner without contact to the store stops renewing sessions by heartbeats after maxStoreSilence, but it still granted new ones. An agent whose heartbeats are not acknowledged reconnects after 5 s, got another 30 s from the former owner, and so kept its tasks running while the next owner, which waits for maxStoreSilence and two lease times, placed them again (invariant 2).

Change: PartitionController answers SessionOpen with an empty redirect while its view is older than maxStoreSilence, so that the agent asks another entry.

The new test fails without the change.

--- a/control/src/main/java/org/knapweedbank/control/SessionControl.java
+++ b/control/src/main/java/org/knapweedbank/control/SessionControl.java
@@ -20,6 +20,7 @@
 import org.knapweedbank.scheduling.task.TransitionResult;
 import org.knapweedbank.wire.Heartbeat;
 import org.knapweedbank.wire.HeartbeatAck;
+import org.knapweedbank.wire.Redirect;
 import org.knapweedbank.wire.ReportAck;
 import org.knapweedbank.wire.SessionGrant;
 import org.knapweedbank.wire.SessionOpen;
@@ -62,6 +63,12 @@
     }
 
     void open(AgentSession connection, SessionOpen open) {
+        if (!mContext.mayRenewSessions()) {
+            // A grant renews the leases like a heartbeat, and a later owner may count on their end.
+            LOG.warn("[control] no session for {}: the store is silent", open.vm());
+            connection.send(new Redirect("", 0));
+            return;
+        }
         long now = mContext.nowNanos();
         VmId vm = open.vm();
         VmSession session =
--- a/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
+++ b/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
@@ -9,7 +9,9 @@
 import org.knapweedbank.model.JobKind;
 import org.knapweedbank.wire.CheckpointTask;
 import org.knapweedbank.wire.HeartbeatAck;
+import org.knapweedbank.wire.Redirect;
 import org.knapweedbank.wire.ReportAck;
+import org.knapweedbank.wire.SessionGrant;
 import org.knapweedbank.wire.StartTask;
 import org.knapweedbank.wire.StopTask;
 import org.knapweedbank.wire.TaskReportState;
@@ -142,6 +144,25 @@
         assertThat(mFixture.agent("vm1").sent(HeartbeatAck.class)).hasSize(acknowledged);
     }
 
+    /**
+     * Guards against an isolated owner that renews leases by new sessions, while a later owner
+     * places the tasks again.
+     */
+    @Test
+    void grantsNoSessionAfterMaxStoreSilence() {
+        StartTask start = startOneTask();
+        mFixture.setStoreUp(false);
+        mFixture.pass(ControlSettings.defaults().maxStoreSilence().plusSeconds(1), "vm1");
+        mFixture.disconnect("vm1");
+        mFixture.connect("vm1", "a", ControlFixture.held(start, TaskReportState.RUNNING));
+        assertThat(mFixture.agent("vm1").sent(SessionGrant.class)).isEmpty();
+        assertThat(mFixture.agent("vm1").sent(Redirect.class)).hasSize(1);
+        assertThat(mFixture.agent("vm1").sent(HeartbeatAck.class)).isEmpty();
+        mFixture.setStoreUp(true);
+        mFixture.connect("vm1", "a", ControlFixture.held(start, TaskReportState.RUNNING));
+        assertThat(mFixture.agent("vm1").sent(SessionGrant.class)).hasSize(1);
+    }
+
     /** Guards against evicted work that is lost or resumes twice. */
     @Test
     void resumesCheckpointedTaskOnce() {
