--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/FaultMatrix.java
@@ -0,0 +1,95 @@
+package org.knapweedbank.faults;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Random;
+import java.util.stream.IntStream;
+import java.util.stream.LongStream;
+import java.util.stream.Stream;
+import org.knapweedbank.faults.task.TaskDomain;
+
+/** All cells of the matrix. */
+public final class FaultMatrix {
+    /** Runs of each pair of step and fault. */
+    public static final int SEEDS = 2;
+
+    /** Pairs of faults drawn for each step. */
+    public static final int PAIRS = 10;
+
+    private static final int MUTANT_SEEDS = 12;
+
+    private FaultMatrix() {}
+
+    /** One run: a step, one fault or a pair, and a seed. */
+    public record Cell(FaultDomain domain, String step, List<Fault> faults, long seed) {
+        public List<String> failures() {
+            CellOutcome outcome = domain.run(step, faults, seed, "");
+            if (!outcome.occurred()) {
+                return List.of(this + ": the step did not occur");
+            }
+            return outcome.violations().stream()
+                    .limit(2)
+                    .map(v -> this + ": invariant " + v.invariant() + " broken: " + v.detail())
+                    .toList();
+        }
+
+        @Override
+        public String toString() {
+            List<String> names = faults.stream().map(Fault::name).toList();
+            return "--step " + step + " --fault " + String.join("+", names) + " --seed " + seed;
+        }
+    }
+
+    public static List<FaultDomain> domains() {
+        return List.of(new TaskDomain());
+    }
+
+    /** The cells of a step: each single fault, and a sample of pairs. */
+    public static List<Cell> cells(FaultDomain domain, String step) {
+        List<Fault> possible =
+                Stream.of(Fault.values())
+                        .filter(fault -> domain.impossible(step, fault).isEmpty())
+                        .toList();
+        List<Cell> cells = new ArrayList<>();
+        for (Fault fault : possible) {
+            LongStream.rangeClosed(1, SEEDS)
+                    .forEach(seed -> cells.add(new Cell(domain, step, List.of(fault), seed)));
+        }
+        Random random = new Random(step.hashCode());
+        for (int i = 0; i < PAIRS; i++) {
+            Fault first = possible.get(random.nextInt(possible.size()));
+            Fault second = possible.get(random.nextInt(possible.size()));
+            cells.add(new Cell(domain, step, List.of(first, second), 100 + i));
+        }
+        return cells;
+    }
+
+    /** The first cell, in order of seeds, that catches a mutant. */
+    public static Optional<String> catcher(FaultDomain domain, String mutant) {
+        return LongStream.rangeClosed(1, MUTANT_SEEDS)
+                .boxed()
+                .flatMap(
+                        seed ->
+                                domain.steps().parallelStream()
+                                        .flatMap(step -> caught(domain, mutant, step, seed))
+                                        .toList()
+                                        .stream())
+                .findFirst();
+    }
+
+    private static Stream<String> caught(
+            FaultDomain domain, String mutant, String step, long seed) {
+        return IntStream.range(0, Fault.values().length)
+                .mapToObj(i -> Fault.values()[i])
+                .filter(fault -> domain.impossible(step, fault).isEmpty())
+                .flatMap(
+                        fault -> {
+                            Cell cell = new Cell(domain, step, List.of(fault), seed);
+                            CellOutcome outcome = domain.run(step, List.of(fault), seed, mutant);
+                            return outcome.violations().stream()
+                                    .limit(1)
+                                    .map(v -> cell + ", invariant " + v.invariant());
+                        });
+    }
+}
--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/FaultMatrixTest.java
@@ -0,0 +1,30 @@
+package org.knapweedbank.faults;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+class FaultMatrixTest {
+    static Stream<Arguments> steps() {
+        return FaultMatrix.domains().stream()
+                .flatMap(
+                        domain ->
+                                domain.steps().stream()
+                                        .map(step -> Arguments.of(domain.name(), step, domain)));
+    }
+
+    /** Guards against an invariant of the design page that a fault at some step breaks. */
+    @ParameterizedTest(name = "{0} {1}")
+    @MethodSource("steps")
+    void invariantsHold(String name, String step, FaultDomain domain) {
+        List<String> broken =
+                FaultMatrix.cells(domain, step).parallelStream()
+                        .flatMap(cell -> cell.failures().stream())
+                        .toList();
+        assertWithMessage("%s", String.join("\n", broken)).that(broken).isEmpty();
+    }
+}
--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/FaultsMain.java
@@ -0,0 +1,101 @@
+package org.knapweedbank.faults;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+
+/** Reruns a cell, writes the report, or runs the mutants. */
+public final class FaultsMain {
+    private static final int USAGE = 2;
+
+    private FaultsMain() {}
+
+    public static void main(String[] args) throws IOException {
+        Options options =
+                new Options()
+                        .addOption(null, "step", true, "step of the cell")
+                        .addOption(null, "fault", true, "fault, or two joined by +")
+                        .addOption(null, "seed", true, "seed of the cell")
+                        .addOption(null, "mutant", true, "mutant to run the cell with")
+                        .addOption(null, "report", false, "write docs/fault-matrix.md")
+                        .addOption(null, "mutants", false, "require that each mutant is caught");
+        try {
+            CommandLine line = new DefaultParser().parse(options, args);
+            System.exit(run(line));
+        } catch (ParseException | IllegalArgumentException e) {
+            System.err.println("bin/faults: " + e.getMessage());
+            System.err.println(
+                    "usage: bin/faults --step S --fault F --seed N | --report | --mutants");
+            System.exit(USAGE);
+        }
+    }
+
+    private static int run(CommandLine line) throws IOException, ParseException {
+        if (line.hasOption("report")) {
+            return report();
+        }
+        if (line.hasOption("mutants")) {
+            return mutants();
+        }
+        if (!line.hasOption("step") || !line.hasOption("fault")) {
+            throw new ParseException("--step and --fault are needed");
+        }
+        return cell(
+                line.getOptionValue("step"),
+                Stream.of(line.getOptionValue("fault").split("\\+")).map(Fault::valueOf).toList(),
+                Long.parseLong(line.getOptionValue("seed", "1")),
+                line.getOptionValue("mutant", ""));
+    }
+
+    private static int cell(String step, List<Fault> faults, long seed, String mutant)
+            throws ParseException {
+        FaultDomain domain =
+                FaultMatrix.domains().stream()
+                        .filter(known -> known.steps().contains(step))
+                        .findFirst()
+                        .orElseThrow(() -> new ParseException("unknown step " + step));
+        for (Fault fault : faults) {
+            Optional<String> reason = domain.impossible(step, fault);
+            if (reason.isPresent()) {
+                System.out.println(fault + " cannot occur at " + step + ": " + reason.get());
+                return 0;
+            }
+        }
+        CellOutcome outcome = domain.run(step, faults, seed, mutant);
+        outcome.trace().forEach(System.out::println);
+        if (!outcome.occurred()) {
+            System.out.println("the step did not occur");
+        }
+        outcome.violations()
+                .forEach(v -> System.out.println("invariant " + v.invariant() + ": " + v.detail()));
+        return outcome.occurred() && outcome.violations().isEmpty() ? 0 : 1;
+    }
+
+    private static int mutants() {
+        int missed = 0;
+        for (FaultDomain domain : FaultMatrix.domains()) {
+            for (String mutant : domain.mutants()) {
+                Optional<String> catcher = FaultMatrix.catcher(domain, mutant);
+                System.out.println(mutant + ": " + catcher.orElse("NOT CAUGHT"));
+                missed += catcher.isPresent() ? 0 : 1;
+            }
+        }
+        return missed == 0 ? 0 : 1;
+    }
+
+    private static int report() throws IOException {
+        FaultReport report = FaultReport.run();
+        Path root = Path.of(System.getProperty("knapweedbank.root", "."));
+        Files.writeString(root.resolve("docs/fault-matrix.md"), report.markdown());
+        System.out.println(report.summary());
+        report.failures().forEach(System.out::println);
+        return report.failures().isEmpty() ? 0 : 1;
+    }
+}
--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/task/ProcessWorker.java
@@ -0,0 +1,66 @@
+package org.knapweedbank.faults.task;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.List;
+import org.knapweedbank.faults.SimProcess;
+import org.knapweedbank.model.TaskId;
+import org.knapweedbank.worker.TaskStart;
+import org.knapweedbank.worker.TaskStatus;
+import org.knapweedbank.worker.TaskUsage;
+import org.knapweedbank.worker.Worker;
+import org.knapweedbank.worker.WorkerResult;
+
+/** A worker as one process sees it: answers wait while the process is paused. */
+record ProcessWorker(Worker worker, SimProcess process) implements Worker {
+    private <T> Uni<T> heard(Uni<T> call) {
+        return Uni.createFrom()
+                .emitter(
+                        emitter ->
+                                call.subscribe()
+                                        .with(
+                                                result ->
+                                                        process.execute(
+                                                                () -> emitter.complete(result))));
+    }
+
+    @Override
+    public Uni<WorkerResult<TaskStatus>> start(TaskStart start) {
+        return heard(worker.start(start));
+    }
+
+    @Override
+    public Uni<WorkerResult<Integer>> renew(Duration ttl) {
+        return heard(worker.renew(ttl));
+    }
+
+    @Override
+    public Uni<WorkerResult<TaskStatus>> checkpoint(TaskId task, int attempt) {
+        return heard(worker.checkpoint(task, attempt));
+    }
+
+    @Override
+    public Uni<WorkerResult<TaskStatus>> throttle(TaskId task, int attempt, double share) {
+        return heard(worker.throttle(task, attempt, share));
+    }
+
+    @Override
+    public Uni<WorkerResult<TaskStatus>> stop(TaskId task, int attempt) {
+        return heard(worker.stop(task, attempt));
+    }
+
+    @Override
+    public Uni<WorkerResult<List<TaskStatus>>> list() {
+        return heard(worker.list());
+    }
+
+    @Override
+    public Uni<WorkerResult<Boolean>> forget(TaskId task, int attempt) {
+        return heard(worker.forget(task, attempt));
+    }
+
+    @Override
+    public Uni<WorkerResult<List<TaskUsage>>> usage() {
+        return heard(worker.usage());
+    }
+}
--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskDomain.java
@@ -0,0 +1,37 @@
+package org.knapweedbank.faults.task;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.knapweedbank.faults.CellOutcome;
+import org.knapweedbank.faults.Fault;
+import org.knapweedbank.faults.FaultDomain;
+
+/** Tasks: start, completion, checkpoint and resumption, cancellation, takeover, data centres. */
+public final class TaskDomain implements FaultDomain {
+    @Override
+    public String name() {
+        return "task";
+    }
+
+    @Override
+    public List<String> steps() {
+        return Stream.of(TaskStep.values()).map(Enum::name).toList();
+    }
+
+    @Override
+    public List<String> mutants() {
+        return Stream.of(TaskMutant.values()).map(Enum::name).toList();
+    }
+
+    @Override
+    public Optional<String> impossible(String step, Fault fault) {
+        return Optional.empty();
+    }
+
+    @Override
+    public CellOutcome run(String step, List<Fault> faults, long seed, String mutant) {
+        TaskMutant altered = mutant.isEmpty() ? null : TaskMutant.valueOf(mutant);
+        return new TaskWorld(TaskStep.valueOf(step), faults, seed, altered).run();
+    }
+}
