--- a/faults/src/test/java/org/knapweedbank/faults/FaultMatrix.java
+++ b/faults/src/test/java/org/knapweedbank/faults/FaultMatrix.java
@@ -7,6 +7,7 @@
 import java.util.stream.IntStream;
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
+import org.knapweedbank.faults.request.RequestDomain;
 import org.knapweedbank.faults.task.TaskDomain;
 
 /** All cells of the matrix. */
@@ -42,7 +43,7 @@
     }
 
     public static List<FaultDomain> domains() {
-        return List.of(new TaskDomain());
+        return List.of(new TaskDomain(), new RequestDomain());
     }
 
     /** The cells of a step: each single fault, and a sample of pairs. */
