--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/ProcessStore.java
@@ -0,0 +1,96 @@
+package org.knapweedbank.faults;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import org.knapweedbank.store.KeyEntry;
+import org.knapweedbank.store.KeyRange;
+import org.knapweedbank.store.KeyValueStore;
+import org.knapweedbank.store.StoreResult;
+import org.knapweedbank.store.StoreWatch;
+import org.knapweedbank.store.Transaction;
+import org.knapweedbank.store.TransactionResult;
+import org.knapweedbank.store.WatchListener;
+
+/** A store as one process sees it: answers and events wait while the process is paused. */
+public record ProcessStore(KeyValueStore store, SimProcess process) implements KeyValueStore {
+    private <T> Uni<T> heard(Uni<T> call) {
+        return Uni.createFrom()
+                .emitter(
+                        emitter ->
+                                call.subscribe()
+                                        .with(
+                                                result ->
+                                                        process.execute(
+                                                                () -> emitter.complete(result))));
+    }
+
+    @Override
+    public Uni<StoreResult<KeyRange>> get(String key) {
+        return heard(store.get(key));
+    }
+
+    @Override
+    public Uni<StoreResult<KeyRange>> range(String prefix, int limit) {
+        return heard(store.range(prefix, limit));
+    }
+
+    @Override
+    public Uni<StoreResult<KeyRange>> rangeFrom(String prefix, String from, int limit) {
+        return heard(store.rangeFrom(prefix, from, limit));
+    }
+
+    @Override
+    public Uni<StoreResult<TransactionResult>> transact(Transaction transaction) {
+        return heard(store.transact(transaction));
+    }
+
+    @Override
+    public Uni<StoreResult<Long>> grantLease(Duration ttl) {
+        return heard(store.grantLease(ttl));
+    }
+
+    @Override
+    public Uni<StoreResult<Boolean>> keepAlive(long leaseId) {
+        return heard(store.keepAlive(leaseId));
+    }
+
+    @Override
+    public Uni<StoreResult<Boolean>> revoke(long leaseId) {
+        return heard(store.revoke(leaseId));
+    }
+
+    @Override
+    public StoreWatch watch(String prefix, long fromRevision, WatchListener listener) {
+        return store.watch(prefix, fromRevision, new Heard(process, listener));
+    }
+
+    @Override
+    public void close() {}
+
+    private record Heard(SimProcess process, WatchListener listener) implements WatchListener {
+        @Override
+        public void put(KeyEntry entry) {
+            process.execute(() -> listener.put(entry));
+        }
+
+        @Override
+        public void deleted(String key, long revision) {
+            process.execute(() -> listener.deleted(key, revision));
+        }
+
+        @Override
+        public void interrupted(String reason) {
+            process.execute(() -> listener.interrupted(reason));
+        }
+
+        @Override
+        public void connected() {
+            process.execute(listener::connected);
+        }
+
+        @Override
+        public void compacted(long revision) {
+            process.execute(() -> listener.compacted(revision));
+        }
+    }
+}
--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/faults/configuration/SimConfigEntry.java
@@ -0,0 +1,143 @@
+package org.knapweedbank.faults.configuration;
+
+import io.smallrye.mutiny.Uni;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.knapweedbank.config.ConfigurationStore;
+import org.knapweedbank.config.SiteConfiguration;
+import org.knapweedbank.config.StoreConfigurationSource;
+import org.knapweedbank.faults.ProcessStore;
+import org.knapweedbank.faults.SimProcess;
+import org.knapweedbank.store.KeyRange;
+import org.knapweedbank.store.KeyValueStore;
+import org.knapweedbank.store.StoreResult;
+import org.knapweedbank.store.StoreWatch;
+import org.knapweedbank.store.Transaction;
+import org.knapweedbank.store.TransactionResult;
+import org.knapweedbank.store.WatchListener;
+import org.knapweedbank.store.cache.StorePrefixView;
+import org.knapweedbank.time.Clock;
+
+/** One incarnation of an entry as far as the configuration needs it. */
+final class SimConfigEntry {
+    private final ConfigurationWorld mWorld;
+    private final String mName;
+    private final SimProcess mProcess;
+    private final ConfigurationStore mStore;
+    private final StoreConfigurationSource mSource;
+    private final Map<SimConfigAgent, Long> mPushed = new HashMap<>();
+
+    SimConfigEntry(ConfigurationWorld world, String name, Clock clock, KeyValueStore client) {
+        mWorld = world;
+        mName = name;
+        mProcess = new SimProcess(world.simulation(), name);
+        KeyValueStore store = new ProcessStore(client, mProcess);
+        if (world.mutant() == ConfigurationMutant.LOST_ANSWER_TAKEN_FOR_REFUSAL) {
+            store = new RefusingStore(store);
+        }
+        mStore = new ConfigurationStore(store, clock, name + "/" + world.simulation().now());
+        StorePrefixView view = new StorePrefixView(store, "/kwb/c/", clock);
+        mSource = new StoreConfigurationSource(view, store);
+        view.start();
+        mSource.subscribe(this::changed);
+        mSource.start();
+        mProcess.every(
+                Duration.ofSeconds(1),
+                () -> {
+                    view.confirm();
+                    mSource.refresh();
+                });
+    }
+
+    private void changed(SiteConfiguration configuration) {
+        mWorld.inForce(mName, configuration.generation());
+        mWorld.step(ConfigurationStep.SEEN_BY_ENTRY);
+        List.copyOf(mPushed.keySet()).forEach(this::push);
+    }
+
+    String name() {
+        return mName;
+    }
+
+    SimProcess process() {
+        return mProcess;
+    }
+
+    ConfigurationStore store() {
+        return mStore;
+    }
+
+    /** A heartbeat of an agent has arrived, with the generation in force there. */
+    void heartbeat(SimConfigAgent agent, long generation) {
+        mWorld.step(ConfigurationStep.CONFIRMED_BY_AGENT);
+        boolean first = !mPushed.containsKey(agent);
+        mPushed.putIfAbsent(agent, 0L);
+        boolean repeats = mWorld.mutant() != ConfigurationMutant.PUSH_NOT_REPEATED;
+        long own = mSource.current().map(SiteConfiguration::generation).orElse(0L);
+        if (generation < own && (first || repeats)) {
+            push(agent);
+        }
+    }
+
+    private void push(SimConfigAgent agent) {
+        mSource.current()
+                .ifPresent(
+                        present -> {
+                            mWorld.step(ConfigurationStep.PUSHED_TO_AGENT);
+                            agent.send(present);
+                        });
+    }
+
+    /** Reports a lost answer to a write as one that had no effect. */
+    private record RefusingStore(KeyValueStore store) implements KeyValueStore {
+        @Override
+        public Uni<StoreResult<TransactionResult>> transact(Transaction transaction) {
+            return store.transact(transaction)
+                    .map(
+                            result ->
+                                    result instanceof StoreResult.Unknown
+                                            ? new StoreResult.Unavailable<>("no answer")
+                                            : result);
+        }
+
+        @Override
+        public Uni<StoreResult<KeyRange>> get(String key) {
+            return store.get(key);
+        }
+
+        @Override
+        public Uni<StoreResult<KeyRange>> range(String prefix, int limit) {
+            return store.range(prefix, limit);
+        }
+
+        @Override
+        public Uni<StoreResult<KeyRange>> rangeFrom(String prefix, String from, int limit) {
+            return store.rangeFrom(prefix, from, limit);
+        }
+
+        @Override
+        public Uni<StoreResult<Long>> grantLease(Duration ttl) {
+            return store.grantLease(ttl);
+        }
+
+        @Override
+        public Uni<StoreResult<Boolean>> keepAlive(long leaseId) {
+            return store.keepAlive(leaseId);
+        }
+
+        @Override
+        public Uni<StoreResult<Boolean>> revoke(long leaseId) {
+            return store.revoke(leaseId);
+        }
+
+        @Override
+        public StoreWatch watch(String prefix, long fromRevision, WatchListener listener) {
+            return store.watch(prefix, fromRevision, listener);
+        }
+
+        @Override
+        public void close() {}
+    }
+}
