--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.capacity.OwnerCapacity;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
@@ -18,7 +19,8 @@
                     new PlacementThroughput(),
                     new PlacementLatency(),
                     new PlacementQuality(),
-                    new UrgentStart());
+                    new UrgentStart(),
+                    new OwnerCapacity());
 
     private BenchmarkRunner() {}
 
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/capacity/FakeAgents.java
@@ -0,0 +1,188 @@
+package org.knapweedbank.bench.capacity;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.knapweedbank.control.AgentSession;
+import org.knapweedbank.control.PartitionController;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.model.TaskId;
+import org.knapweedbank.model.VmId;
+import org.knapweedbank.wire.FrameCodec;
+import org.knapweedbank.wire.FrameException;
+import org.knapweedbank.wire.Heartbeat;
+import org.knapweedbank.wire.Message;
+import org.knapweedbank.wire.SessionOpen;
+import org.knapweedbank.wire.StartTask;
+import org.knapweedbank.wire.TaskDigest;
+import org.knapweedbank.wire.TaskHeld;
+import org.knapweedbank.wire.TaskReport;
+import org.knapweedbank.wire.TaskReportState;
+
+/** Agents of a partition without I/O: they run what they are told to, and count the bytes. */
+final class FakeAgents {
+    static final Resources VM = new Resources(64_000, 250_000, 2);
+
+    private final FrameCodec mCodec = new FrameCodec();
+    private final Map<VmId, Agent> mAgents = new LinkedHashMap<>();
+    private final Deque<StartTask> mStarted = new ArrayDeque<>();
+    private final Deque<VmId> mStartedOn = new ArrayDeque<>();
+    private long mBytesToAgents;
+    private long mBytesToOwner;
+
+    /** One agent and the attempts that it runs. */
+    private final class Agent implements AgentSession {
+        private final VmId mVm;
+        private final String mDataCentre;
+        private final Map<TaskId, TaskHeld> mHeld = new LinkedHashMap<>();
+        private long mSeq;
+
+        private Agent(VmId vm, String dataCentre) {
+            mVm = vm;
+            mDataCentre = dataCentre;
+        }
+
+        @Override
+        public DaemonId agent() {
+            return new DaemonId(mVm.value());
+        }
+
+        @Override
+        public long incarnation() {
+            return 1;
+        }
+
+        @Override
+        public DataCentreId dataCentre() {
+            return new DataCentreId(mDataCentre);
+        }
+
+        @Override
+        public void send(Message message) {
+            mBytesToAgents += size(message);
+            if (message instanceof StartTask start) {
+                mHeld.put(
+                        start.task(),
+                        new TaskHeld(
+                                start.task(),
+                                start.attempt(),
+                                start.resources(),
+                                TaskReportState.RUNNING,
+                                ""));
+                mStarted.add(start);
+                mStartedOn.add(mVm);
+            }
+        }
+
+        @Override
+        public void granted(int partition, long epoch) {}
+
+        @Override
+        public void close(String reason) {}
+    }
+
+    int size(Message message) {
+        try {
+            return mCodec.encode(message, FrameCodec.MAX_VERSION).length();
+        } catch (FrameException e) {
+            throw new IllegalStateException("a message of this benchmark cannot be encoded", e);
+        }
+    }
+
+    void connect(PartitionController controller, int vms) {
+        for (int i = 0; i < vms; i++) {
+            VmId vm = new VmId("vm-" + i);
+            Agent agent = new Agent(vm, "dc-" + i % 5);
+            mAgents.put(vm, agent);
+            controller.open(agent, open(agent, i));
+        }
+    }
+
+    private static SessionOpen open(Agent agent, int index) {
+        return new SessionOpen(
+                agent.mVm,
+                "rack-" + index / 3,
+                "region",
+                VM,
+                "10.0.0.1:7000",
+                1,
+                List.copyOf(agent.mHeld.values()),
+                "10.0.0.1:7001");
+    }
+
+    /** All agents connect to a new owner, with the attempts that they hold. */
+    void reconnect(PartitionController controller) {
+        int index = 0;
+        for (Agent agent : mAgents.values()) {
+            agent.mSeq = 0;
+            controller.open(agent, open(agent, index++));
+        }
+    }
+
+    void heartbeats(PartitionController controller, long epoch) {
+        for (Agent agent : mAgents.values()) {
+            agent.mSeq++;
+            long digest = TaskDigest.of(agent.mHeld.values());
+            Heartbeat heartbeat = new Heartbeat(agent.mSeq, epoch, digest, 1, List.of(), List.of());
+            mBytesToOwner += size(heartbeat);
+            controller.heartbeat(agent.mVm, heartbeat);
+        }
+    }
+
+    /** Reports all attempts started since the last call as running; returns their number. */
+    int reportRunning(PartitionController controller, long epoch) {
+        int count = mStarted.size();
+        List<StartTask> starts = new ArrayList<>(mStarted);
+        List<VmId> vms = new ArrayList<>(mStartedOn);
+        mStarted.clear();
+        mStartedOn.clear();
+        for (int i = 0; i < count; i++) {
+            report(controller, vms.get(i), starts.get(i), epoch, TaskReportState.RUNNING);
+        }
+        return count;
+    }
+
+    /** Ends attempts on all agents; returns their number. */
+    int finish(PartitionController controller, long epoch, int limit) {
+        int count = 0;
+        for (Agent agent : mAgents.values()) {
+            for (TaskHeld held : List.copyOf(agent.mHeld.values())) {
+                if (count >= limit) {
+                    return count;
+                }
+                agent.mHeld.remove(held.task());
+                TaskReport report =
+                        new TaskReport(
+                                epoch, held.task(), held.attempt(), TaskReportState.FINISHED, "");
+                mBytesToOwner += size(report);
+                controller.report(agent.mVm, report);
+                count++;
+            }
+        }
+        return count;
+    }
+
+    private void report(
+            PartitionController controller,
+            VmId vm,
+            StartTask start,
+            long epoch,
+            TaskReportState state) {
+        TaskReport report = new TaskReport(epoch, start.task(), start.attempt(), state, "");
+        mBytesToOwner += size(report);
+        controller.report(vm, report);
+    }
+
+    long bytesToAgents() {
+        return mBytesToAgents;
+    }
+
+    long bytesToOwner() {
+        return mBytesToOwner;
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/capacity/PartitionModel.java
@@ -0,0 +1,154 @@
+package org.knapweedbank.bench.capacity;
+
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.apache.commons.rng.simple.RandomSource;
+import org.knapweedbank.config.DataCentreSettings;
+import org.knapweedbank.config.ServiceSettings;
+import org.knapweedbank.config.SiteConfiguration;
+import org.knapweedbank.config.TeamSettings;
+import org.knapweedbank.control.ControlCounters;
+import org.knapweedbank.control.ControlSettings;
+import org.knapweedbank.control.PartitionController;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.JobKind;
+import org.knapweedbank.model.JobSpec;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.scheduling.PartitionScheduler;
+import org.knapweedbank.scheduling.SchedulerSettings;
+import org.knapweedbank.time.ManualClock;
+
+/** A partition with its real controller and scheduler, fake agents and a journal in memory. */
+final class PartitionModel {
+    static final long SEED = 20_261_204L;
+    private static final int TEAMS = 260;
+    private static final int TASKS_PER_JOB = 10;
+
+    private final ManualClock mClock = new ManualClock();
+    private final FakeAgents mAgents = new FakeAgents();
+    private final CountingJournal mJournal = new CountingJournal();
+    private PartitionController mController;
+    private long mEpoch = 1;
+    private int mJobs;
+
+    PartitionModel(int vms) {
+        mController = controller();
+        mController.recover(List.of());
+        mController.configure(configuration());
+        mAgents.connect(mController, vms);
+        second();
+    }
+
+    private PartitionController controller() {
+        return new PartitionController(
+                0,
+                mEpoch,
+                ControlSettings.defaults(),
+                mClock,
+                new PartitionScheduler(
+                        SchedulerSettings.defaults(),
+                        mClock,
+                        RandomSource.SPLIT_MIX_64.create(SEED)),
+                mJournal,
+                new ControlCounters(new MetricRegistry()));
+    }
+
+    static SiteConfiguration configuration() {
+        List<DataCentreSettings> dataCentres =
+                IntStream.range(0, 5)
+                        .mapToObj(
+                                i ->
+                                        new DataCentreSettings(
+                                                new DataCentreId("dc-" + i), "region", false))
+                        .toList();
+        List<TeamSettings> teams =
+                IntStream.range(0, TEAMS)
+                        .mapToObj(
+                                i ->
+                                        new TeamSettings(
+                                                "team-" + i,
+                                                new Resources(60_000, 200_000, 1),
+                                                1,
+                                                0))
+                        .toList();
+        return new SiteConfiguration(
+                1,
+                "capacity",
+                1,
+                dataCentres,
+                List.of(new ServiceSettings("web", 50, 1_000, 100, Set.of("GET"), false)),
+                teams,
+                List.of());
+    }
+
+    PartitionController controllerInUse() {
+        return mController;
+    }
+
+    FakeAgents agents() {
+        return mAgents;
+    }
+
+    CountingJournal journal() {
+        return mJournal;
+    }
+
+    /** Submits jobs with the given number of tasks in all. */
+    void submit(int tasks) {
+        for (int done = 0; done < tasks; done += TASKS_PER_JOB) {
+            mJobs++;
+            JobSpec spec =
+                    new JobSpec(
+                            new JobId("job-" + mJobs),
+                            "team-" + mJobs % TEAMS,
+                            JobKind.BATCH,
+                            "class-" + mJobs % 20,
+                            Math.min(TASKS_PER_JOB, tasks - done),
+                            new Resources(1_000, 4_000, 0),
+                            0,
+                            false,
+                            60,
+                            3,
+                            List.of("program", "argument-" + mJobs));
+            mController.submit(spec, false, result -> {});
+        }
+        mJournal.commit();
+    }
+
+    /** Places what waits, and lets the agents report the starts; returns their number. */
+    int start() {
+        mController.schedule();
+        mJournal.commit();
+        return mAgents.reportRunning(mController, mEpoch);
+    }
+
+    int finish(int limit) {
+        int finished = mAgents.finish(mController, mEpoch, limit);
+        mJournal.commit();
+        return finished;
+    }
+
+    /** A second passes: every agent sends a heartbeat, and the periodic work is done. */
+    void second() {
+        mClock.advance(Duration.ofSeconds(1));
+        mController.confirmView(mClock.monotonicNanos());
+        mAgents.heartbeats(mController, mEpoch);
+        mController.tick();
+        mJournal.commit();
+    }
+
+    /** A new owner recovers from the journal and all agents connect to it. */
+    void takeOver() {
+        mEpoch++;
+        mController = controller();
+        mController.recover(mJournal.replay());
+        mController.configure(configuration());
+        mController.confirmView(mClock.monotonicNanos());
+        mAgents.reconnect(mController);
+        mJournal.commit();
+    }
+}
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/JobLoad.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/JobLoad.java
@@ -24,10 +24,10 @@
     }
 
     /** Submits jobs; every third submission is sent twice, which must not double the job. */
-    void submit(int count, int taskMillis) throws IOException, InterruptedException {
+    void submit(int count, int taskMillis, int milliCpu) throws IOException, InterruptedException {
         for (int i = 0; i < count; i++) {
             mSubmitted++;
-            Map<String, Object> job = job(PREFIX + mSubmitted, taskMillis);
+            Map<String, Object> job = job(PREFIX + mSubmitted, taskMillis, milliCpu);
             post(job);
             if (mSubmitted % 3 == 0) {
                 post(job);
@@ -44,7 +44,7 @@
         return entries.get(mSubmitted % entries.size()).operators();
     }
 
-    private static Map<String, Object> job(String id, int taskMillis) {
+    private static Map<String, Object> job(String id, int taskMillis, int milliCpu) {
         return Map.of(
                 "id",
                 id,
@@ -57,7 +57,7 @@
                 "tasks",
                 TASKS_PER_JOB,
                 "resources",
-                Map.of("milliCpu", 1000, "memoryMb", 512),
+                Map.of("milliCpu", milliCpu, "memoryMb", 512),
                 "command",
                 List.of("simulate", "--millis", Integer.toString(taskMillis)));
     }
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/Quickstart.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/Quickstart.java
@@ -24,6 +24,13 @@
     private static final Duration STOP_LIMIT = Duration.ofSeconds(15);
     private static final long REMOVAL_LIMIT_MILLIS = 3_000;
     private static final int STREAMS = 6;
+
+    /** Processor time of a task, in thousandths of a core. */
+    private static final int SMALL = 1_000;
+
+    /** Twelve tasks of this size use all four VMs, so some run beside the agent that is killed. */
+    private static final int LARGE = 4_500;
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final Deployment mDeployment;
@@ -129,7 +136,7 @@
         mStreams = new StreamLoad(mVertx, mRequests);
         mStreams.start(STREAMS);
         mJobs = new JobLoad(mDeployment, mClient);
-        mJobs.submit(12, 2_000);
+        mJobs.submit(12, 2_000, SMALL);
         progress("load running: 200 requests/s, " + STREAMS + " streams, 12 batch jobs");
     }
 
@@ -144,11 +151,11 @@
     }
 
     private void removeAndReturnDataCentre() throws IOException, InterruptedException {
-        mJobs.submit(6, 3_000);
+        mJobs.submit(6, 3_000, SMALL);
         runClient("dc", "out", "south");
         mOutMillis = System.currentTimeMillis();
         progress("data centre south is out of service");
-        mJobs.submit(6, 1_000);
+        mJobs.submit(6, 1_000, SMALL);
         pause(6_000);
         mInMillis = System.currentTimeMillis();
         runClient("dc", "in", "south");
@@ -164,7 +171,7 @@
     }
 
     private void killAgent() throws IOException, InterruptedException {
-        mJobs.submit(4, 2_000);
+        mJobs.submit(4, 2_000, LARGE);
         pause(500);
         mKillMillis = System.currentTimeMillis();
         mDeployment.process("agent-south-1").kill();
