--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/agent/AgentMain.java
@@ -0,0 +1,61 @@
+package org.knapweedbank.bench.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.VertxOptions;
+import java.util.List;
+import org.knapweedbank.agent.AgentDaemon;
+import org.knapweedbank.agent.AgentSettings;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.model.VmId;
+import org.knapweedbank.time.SystemClock;
+
+/** Process that runs an agent beside a worker with running tasks, for {@link AgentFootprint}. */
+public final class AgentMain {
+    /** Tasks of a worker at the target size: 48,000 on 1,900 workers. */
+    static final int TASKS = 25;
+
+    private AgentMain() {}
+
+    /**
+     * Starts the agent and runs until the standard input ends.
+     *
+     * @param args address of the entry, data port, announcement port
+     * @throws Exception when the agent cannot start
+     */
+    public static void main(String[] args) throws Exception {
+        Vertx vertx =
+                Vertx.vertx(
+                        new VertxOptions()
+                                .setEventLoopPoolSize(1)
+                                .setWorkerPoolSize(1)
+                                .setInternalBlockingPoolSize(1));
+        AgentSettings settings =
+                new AgentSettings(
+                        new DaemonId("agent-1"),
+                        new VmId("vm-1"),
+                        "ec",
+                        new DataCentreId("quito-a"),
+                        "rack-1",
+                        new Resources(64_000, 250_000, 1),
+                        "127.0.0.1",
+                        Integer.parseInt(args[1]),
+                        Integer.parseInt(args[2]),
+                        List.of(args[0]));
+        AgentDaemon agent =
+                new AgentDaemon(
+                        settings,
+                        vertx,
+                        new SystemClock(),
+                        new IdleWorker(TASKS),
+                        new MetricRegistry());
+        agent.start().await().indefinitely();
+        while (System.in.read() >= 0) {
+            // The parent process closes the stream to end this one.
+        }
+        agent.stop().await().indefinitely();
+        vertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/agent/FootprintPeer.java
@@ -0,0 +1,185 @@
+package org.knapweedbank.bench.agent;
+
+import com.codahale.metrics.MetricRegistry;
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpMethod;
+import io.vertx.core.http.HttpServer;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.HdrHistogram.Histogram;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.wire.ConfigAck;
+import org.knapweedbank.wire.ConfigPush;
+import org.knapweedbank.wire.DaemonRole;
+import org.knapweedbank.wire.FrameClient;
+import org.knapweedbank.wire.FrameConnection;
+import org.knapweedbank.wire.FrameServer;
+import org.knapweedbank.wire.FrameTimeouts;
+import org.knapweedbank.wire.HeaderField;
+import org.knapweedbank.wire.Heartbeat;
+import org.knapweedbank.wire.HeartbeatAck;
+import org.knapweedbank.wire.Hello;
+import org.knapweedbank.wire.Message;
+import org.knapweedbank.wire.Request;
+import org.knapweedbank.wire.ResponseEnd;
+import org.knapweedbank.wire.SessionGrant;
+import org.knapweedbank.wire.SessionOpen;
+import org.knapweedbank.wire.Traffic;
+import org.knapweedbank.wire.TrafficCounters;
+
+/** Entry and upstream beside the measured agent, in the process of the benchmark. */
+final class FootprintPeer {
+    private static final Logger LOG = LogManager.getLogger(FootprintPeer.class);
+    private static final DaemonId ENTRY = new DaemonId("entry-1");
+    private static final long SERVICE_MILLIS = 5;
+    private static final long ANNOUNCE_MILLIS = 2000;
+    private static final long LIMIT_SECONDS = 30;
+    private static final String ANSWER = "x".repeat(1000);
+
+    private final Vertx mVertx = Vertx.vertx();
+    private final MetricRegistry mRegistry = new MetricRegistry();
+    private final TrafficCounters mCounters = new TrafficCounters(mRegistry);
+    private final CompletableFuture<Void> mSession = new CompletableFuture<>();
+    private final long[] mSentNanos = new long[4096];
+    private final Histogram mLatency = new Histogram(3);
+    private HttpServer mUpstream;
+    private FrameConnection mData;
+    private long mId;
+    private int mOther;
+
+    /** Opens the entry's listener; returns its port. */
+    int listen() {
+        mUpstream =
+                mVertx.createHttpServer()
+                        .requestHandler(
+                                request ->
+                                        mVertx.setTimer(
+                                                SERVICE_MILLIS,
+                                                ignored -> request.response().end(ANSWER)))
+                        .listen(0, "127.0.0.1")
+                        .toCompletionStage()
+                        .toCompletableFuture()
+                        .join();
+        return new FrameServer(mVertx, ENTRY, 1, FrameTimeouts.DEFAULT, mRegistry)
+                .listen("127.0.0.1", 0, this::accept)
+                .await()
+                .indefinitely();
+    }
+
+    void awaitSession() throws Exception {
+        mSession.get(LIMIT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    /** Announces the upstream now and every two seconds. */
+    void announce(int port) {
+        HttpClient client = mVertx.createHttpClient();
+        announceOnce(client, port);
+        mVertx.setPeriodic(ANNOUNCE_MILLIS, ignored -> announceOnce(client, port));
+    }
+
+    void connect(int dataPort) {
+        Hello hello = new Hello(DaemonRole.ENTRY, ENTRY, 1, new DataCentreId("quito-a"), 1, 1);
+        mData =
+                new FrameClient(mVertx, FrameTimeouts.DEFAULT, mRegistry)
+                        .connect("127.0.0.1", dataPort, hello)
+                        .await()
+                        .indefinitely();
+        mData.messageHandler(this::onAnswer);
+    }
+
+    /** Sends requests at a fixed rate until the timer is cancelled; returns its identifier. */
+    long load(int perSecond) {
+        return mVertx.setPeriodic(1000 / perSecond, ignored -> request());
+    }
+
+    void stopLoad(long timer) {
+        mVertx.cancelTimer(timer);
+    }
+
+    long controlBytes() {
+        return mCounters.bytes(Traffic.CONTROL);
+    }
+
+    Histogram latency() {
+        return mLatency;
+    }
+
+    /** Number of requests without an answer of the upstream. */
+    int other() {
+        return mOther;
+    }
+
+    void close() {
+        mVertx.close().toCompletionStage().toCompletableFuture().join();
+    }
+
+    private void accept(FrameConnection connection) {
+        connection.messageHandler(message -> onControl(connection, message));
+    }
+
+    private void onControl(FrameConnection connection, Message message) {
+        switch (message) {
+            case SessionOpen open -> {
+                connection.send(new SessionGrant(0, 1, 30_000));
+                connection.send(new ConfigPush(1, List.of(), "{}"));
+            }
+            case Heartbeat heartbeat ->
+                    connection.send(new HeartbeatAck(heartbeat.seq(), heartbeat.epoch(), 1));
+            case ConfigAck ack -> mSession.complete(null);
+            default -> {}
+        }
+    }
+
+    private void announceOnce(HttpClient client, int port) {
+        String body =
+                "{\"service\":\"preview\",\"address\":\"127.0.0.1:%d\",\"slots\":8,"
+                        + "\"connections\":64,\"state\":\"ready\"}";
+        client.request(HttpMethod.POST, port, "127.0.0.1", "/v1/announce")
+                .compose(r -> r.send(Buffer.buffer(body.formatted(mUpstream.actualPort()))))
+                .compose(response -> response.body())
+                .onSuccess(answer -> logProblem(answer.toString()))
+                .onFailure(e -> LOG.warn("[bench] announcement failed", e));
+    }
+
+    private static void logProblem(String answer) {
+        if (!answer.isEmpty()) {
+            LOG.warn("[bench] announcement refused: {}", answer);
+        }
+    }
+
+    private void request() {
+        long id = mId++;
+        mSentNanos[(int) (id % mSentNanos.length)] = System.nanoTime();
+        mData.send(
+                new Request(
+                        id,
+                        "entry-1-" + id,
+                        "",
+                        id % 2 == 0,
+                        "preview",
+                        id % 2 == 0 ? "GET" : "POST",
+                        "/allocations?window=7",
+                        List.of(new HeaderField("Accept", "application/json")),
+                        new byte[200],
+                        10_000,
+                        false,
+                        "c-" + id));
+    }
+
+    private void onAnswer(Message message) {
+        if (message instanceof ResponseEnd end) {
+            long sent = mSentNanos[(int) (end.id() % mSentNanos.length)];
+            mLatency.recordValue((System.nanoTime() - sent) / 1000);
+        } else if (!message.getClass().getSimpleName().startsWith("Response")) {
+            if (mOther++ == 0) {
+                LOG.warn("[bench] first request without an answer: {}", message);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/agent/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the agent. */
+package org.knapweedbank.bench.agent;
