--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,6 +6,7 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.agent.AgentFootprint;
 import org.knapweedbank.bench.capacity.OwnerCapacity;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
@@ -20,7 +21,8 @@
                     new PlacementLatency(),
                     new PlacementQuality(),
                     new UrgentStart(),
-                    new OwnerCapacity());
+                    new OwnerCapacity(),
+                    new AgentFootprint());
 
     private BenchmarkRunner() {}
 
