--- a/config/src/main/java/org/knapweedbank/config/ConfigurationError.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationError.java
@@ -13,6 +13,7 @@
         String file, int line, String path, String found, String accepted) {
     @Override
     public String toString() {
-        return file + ":" + line + ": " + path + ": found " + found + "; accepted: " + accepted;
+        String place = line == 0 ? file : file + ":" + line;
+        return place + ": " + path + ": found " + found + "; accepted: " + accepted;
     }
 }
--- a/config/src/main/java/org/knapweedbank/config/ConfigurationWarning.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationWarning.java
@@ -11,6 +11,7 @@
 public record ConfigurationWarning(String file, int line, String path, String message) {
     @Override
     public String toString() {
-        return file + ":" + line + ": " + path + ": warning: " + message;
+        String place = line == 0 ? file : file + ":" + line;
+        return place + ": " + path + ": warning: " + message;
     }
 }
--- a/tools/src/main/java/org/knapweedbank/tools/Answers.java
+++ b/tools/src/main/java/org/knapweedbank/tools/Answers.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.tools;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import org.knapweedbank.config.ConfigurationError;
 
 /** Messages and exit codes for answers that are not successes. */
 final class Answers {
@@ -36,13 +37,13 @@
     private static ExitCode refused(Output output, ServerAnswer.Answered answered) {
         for (JsonNode error : answered.body().path("errors")) {
             output.message(
-                    "%s:%d: %s: found %s; accepted: %s"
-                            .formatted(
+                    new ConfigurationError(
                                     error.path("file").asText(),
                                     error.path("line").asInt(),
                                     error.path("path").asText(),
                                     error.path("found").asText(),
-                                    error.path("accepted").asText()));
+                                    error.path("accepted").asText())
+                            .toString());
         }
         if (answered.status() == 409) {
             output.message("conflict, nothing was changed: " + answered.detail());
