Confirm the view of a new owner at once, and measure the owner

Cause: since an owner without a confirmed view grants no session, the benchmark measured agents that were all refused. Change: the host passes on the confirmation when a partition starts; the benchmark confirms the view before the agents connect.

--- a/bench/src/main/java/org/knapweedbank/bench/capacity/PartitionModel.java
+++ b/bench/src/main/java/org/knapweedbank/bench/capacity/PartitionModel.java
@@ -39,6 +39,7 @@
         mController = controller();
         mController.recover(List.of());
         mController.configure(configuration());
+        mController.confirmView(mClock.monotonicNanos());
         mAgents.connect(mController, vms);
         second();
     }
--- a/control/src/main/java/org/knapweedbank/control/PartitionHost.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionHost.java
@@ -426,6 +426,7 @@
         owned.setController(controller);
         controller.recover(records);
         controller.configure(mConfiguration);
+        controller.confirmView(mSource.confirmedNanos());
         mAcquiring.remove(partition);
         mPartitions.put(partition, owned);
         LOG.info("[control] partition {} recovered from {} records", partition, records.size());
