--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -12,6 +12,7 @@
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
 import org.knapweedbank.bench.scheduling.UrgentStart;
+import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
 public final class BenchmarkRunner {
@@ -22,7 +23,8 @@
                     new PlacementQuality(),
                     new UrgentStart(),
                     new OwnerCapacity(),
-                    new AgentFootprint());
+                    new AgentFootprint(),
+                    new JournalLoadBenchmark());
 
     private BenchmarkRunner() {}
 
