--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/DaemonSettingsFiles.java
@@ -0,0 +1,74 @@
+package org.knapweedbank.bench.quickstart;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Collectors;
+
+/** Settings files of the daemons of the quickstart. */
+final class DaemonSettingsFiles {
+    private DaemonSettingsFiles() {}
+
+    static String entry(Deployment.Entry entry, int storePort, Path folder) {
+        return """
+                {
+                  "role": "entry",
+                  "daemon": "%s",
+                  "dataCentre": "%s",
+                  "host": "127.0.0.1",
+                  "callers": {"host": "127.0.0.1", "port": %d},
+                  "frames": {"host": "127.0.0.1", "port": %d},
+                  "operators": {"host": "127.0.0.1", "port": %d},
+                  "operatorKeys": "%s",
+                  "store": {"endpoints": ["127.0.0.1:%d"]},
+                  // Short leases, so that the tasks of a killed agent move within the run.
+                  "control": {"sessionTtlMillis": 5000, "maxStoreSilenceMillis": 10000},
+                  "drainDelayMillis": 1000
+                }
+                """
+                .formatted(
+                        entry.id(),
+                        entry.dataCentre(),
+                        entry.callers(),
+                        entry.frames(),
+                        entry.operators(),
+                        folder.resolve("operators.keys"),
+                        storePort);
+    }
+
+    static String agent(
+            Deployment.Vm vm,
+            List<Deployment.Entry> entries,
+            int workerPort,
+            int dataPort,
+            int announcePort) {
+        String seeds =
+                entries.stream()
+                        .map(entry -> "\"127.0.0.1:" + entry.frames() + "\"")
+                        .collect(Collectors.joining(", "));
+        return """
+                {
+                  "role": "agent",
+                  "daemon": "agent-%s",
+                  "vm": "%s",
+                  "region": "highlands",
+                  "dataCentre": "%s",
+                  "rack": "rack-%s",
+                  "capacity": {"milliCpu": 16000, "memoryMb": 16000, "accelerators": 0},
+                  "host": "127.0.0.1",
+                  "dataPort": %d,
+                  "announcePort": %d,
+                  "worker": "127.0.0.1:%d",
+                  "seeds": [%s]
+                }
+                """
+                .formatted(
+                        vm.id(),
+                        vm.id(),
+                        vm.dataCentre(),
+                        vm.id(),
+                        dataPort,
+                        announcePort,
+                        workerPort,
+                        seeds);
+    }
+}
