Compare quota divisions and interference control, and adopt the time-aware division

Plain weights forget what a team used while others had no work. The time-aware division becomes the default. Teams without work now get a weight on the same scale; before, a team that had just begun to submit was compared with an unnormalized weight until the next refresh.

--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,9 +6,11 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.QuotaFairness;
 import org.knapweedbank.bench.scheduling.UrgentStart;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
@@ -18,7 +20,9 @@
                     new PlacementThroughput(),
                     new PlacementLatency(),
                     new PlacementQuality(),
-                    new UrgentStart());
+                    new UrgentStart(),
+                    new QuotaFairness(),
+                    new InterferenceBenchmark());
 
     private BenchmarkRunner() {}
 
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/SchedulerSettings.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/SchedulerSettings.java
@@ -23,13 +23,17 @@
     }
 
     /**
-     * The settings for production.
+     * The settings for production. The time-aware division halved the distance of the use from the
+     * weights over hours in {@code quota.fairness}, at a slightly larger distance within a quarter
+     * of an hour.
      *
      * @return the settings
      */
     public static SchedulerSettings defaults() {
         return new SchedulerSettings(
-                Duration.ofMinutes(15), Duration.ofMillis(1_500), new ShareMode.Plain());
+                Duration.ofMinutes(15),
+                Duration.ofMillis(2_300),
+                new ShareMode.TimeAware(1, Duration.ofHours(1)));
     }
 
     /**
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/placement/CapacityIndex.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/placement/CapacityIndex.java
@@ -130,6 +130,45 @@
         return 0;
     }
 
+    /**
+     * Collects VMs that hold an amount and have spare accelerators, from each number of spare
+     * accelerators those with much free processor time.
+     *
+     * @param need the amount
+     * @param found receives the VMs
+     * @param limit largest number of VMs for each number of spare accelerators
+     * @return number of VMs found
+     */
+    int collectFromEachPlane(Resources need, VmSlot[] found, int limit) {
+        int cpu = level(need.milliCpu(), CPU_UNIT);
+        int memory = level(need.memoryMb(), MEMORY_UNIT);
+        int count = 0;
+        for (int p = need.accelerators() + 1; p < ACCELERATOR_LEVELS; p++) {
+            Plane plane = mPlanes[p];
+            if (plane != null) {
+                int most = Math.min(limit, found.length - count);
+                count += collect(plane, need, cpu, memory, false, found, count, most);
+            }
+        }
+        return count;
+    }
+
+    /** Collects VMs that hold an amount and have exactly the accelerators needed. */
+    int collectExact(Resources need, VmSlot[] found, int limit) {
+        int p = Math.min(need.accelerators(), ACCELERATOR_LEVELS - 1);
+        return mPlanes[p] == null
+                ? 0
+                : collect(
+                        mPlanes[p],
+                        need,
+                        level(need.milliCpu(), CPU_UNIT),
+                        level(need.memoryMb(), MEMORY_UNIT),
+                        true,
+                        found,
+                        0,
+                        limit);
+    }
+
     private static int collect(
             Plane plane,
             Resources need,
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/placement/VmSelector.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/placement/VmSelector.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.scheduling.placement;
 
 import java.util.function.BiPredicate;
+import java.util.function.ToIntFunction;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.JobKind;
 import org.knapweedbank.model.Resources;
@@ -14,6 +15,11 @@
     /** Candidates of each data centre that are compared for a task. */
     static final int CANDIDATES = 12;
 
+    /** Candidates for each number of spare accelerators, for tasks that need none. */
+    private static final int PLANE_CANDIDATES = 4;
+
+    private static final int MAX_CANDIDATES = 64;
+
     /**
      * Cost of one accelerator that can no longer be used. Above any sum of the other costs, since
      * an accelerator is the scarcest resource.
@@ -32,7 +38,7 @@
     private final CapacityLedger mLedger;
     private final PairCosts mPairCosts;
     private final BiPredicate<JobId, VmSlot> mFailedOn;
-    private VmSlot[] mFound = new VmSlot[CANDIDATES];
+    private final VmSlot[] mFound = new VmSlot[MAX_CANDIDATES];
     private double mCpuPerAccelerator = 4_000;
     private double mMemoryPerAccelerator = 16_384;
 
@@ -70,10 +76,36 @@
     }
 
     private VmSlot selectPacked(PendingTask task, Resources need, int taskClass) {
+        if (need.accelerators() > 0) {
+            return cheapest(
+                    task,
+                    need,
+                    taskClass,
+                    index -> index.collect(need, true, mFound, 0, CANDIDATES));
+        }
+        VmSlot exact =
+                cheapest(
+                        task,
+                        need,
+                        taskClass,
+                        index -> index.collectExact(need, mFound, CANDIDATES));
+        // A VM with many spare accelerators may have processor time that they cannot use, while
+        // one with a single spare accelerator may need all it has.
+        return exact != null
+                ? exact
+                : cheapest(
+                        task,
+                        need,
+                        taskClass,
+                        index -> index.collectFromEachPlane(need, mFound, PLANE_CANDIDATES));
+    }
+
+    private VmSlot cheapest(
+            PendingTask task, Resources need, int taskClass, ToIntFunction<CapacityIndex> collect) {
         VmSlot best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (DataCentreCapacity dataCentre : mLedger.dataCentres()) {
-            int count = dataCentre.free().collect(need, true, mFound, 0, CANDIDATES);
+            int count = collect.applyAsInt(dataCentre.free());
             for (int i = 0; i < count; i++) {
                 double cost = packingCost(mFound[i], need) + taskCost(mFound[i], task, taskClass);
                 if (cost < bestCost) {
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/quota/PendingQueues.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/quota/PendingQueues.java
@@ -85,7 +85,15 @@
      * @return the account, created if needed
      */
     public TeamQueue team(String name) {
-        return mTeams.computeIfAbsent(name, key -> new TeamQueue(key, mClock.monotonicNanos()));
+        TeamQueue known = mTeams.get(name);
+        if (known != null) {
+            return known;
+        }
+        TeamQueue team = new TeamQueue(name, mClock.monotonicNanos());
+        mTeams.put(name, team);
+        computeWeights();
+        rankAll();
+        return team;
     }
 
     /**
@@ -384,9 +392,12 @@
                 mTeams.values().stream()
                         .filter(team -> !team.shapes().isEmpty() || team.decayedUsage() > 0)
                         .toList();
-        double weights = active.stream().mapToDouble(team -> team.quota().weight()).sum();
+        double weights =
+                (active.isEmpty() ? mTeams.values() : active)
+                        .stream().mapToDouble(team -> team.quota().weight()).sum();
         double usage = active.stream().mapToDouble(TeamQueue::decayedUsage).sum();
-        for (TeamQueue team : active) {
+        // Teams without work get a weight on the same scale, since they may submit at any moment.
+        for (TeamQueue team : mTeams.values()) {
             double weight = team.quota().weight() / Math.max(Double.MIN_NORMAL, weights);
             double used = usage <= 0 ? weight : team.decayedUsage() / usage;
             team.setEffectiveWeight(Math.max(weight + aware.k() * (weight - used), 0));
