--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -8,9 +8,11 @@
 import java.util.List;
 import org.knapweedbank.bench.agent.AgentFootprint;
 import org.knapweedbank.bench.capacity.OwnerCapacity;
+import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.QuotaFairness;
 import org.knapweedbank.bench.scheduling.UrgentStart;
 import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
@@ -24,7 +26,9 @@
                     new UrgentStart(),
                     new OwnerCapacity(),
                     new AgentFootprint(),
-                    new JournalLoadBenchmark());
+                    new JournalLoadBenchmark(),
+                    new QuotaFairness(),
+                    new InterferenceBenchmark());
 
     private BenchmarkRunner() {}
 
