--- a/config/src/main/java/org/knapweedbank/config/ConfigurationStore.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationStore.java
@@ -206,6 +206,12 @@
             int races,
             Function<ConfigurationState, Proposal> proposal,
             ConfigurationState state) {
+        if (state.number() < request.known()) {
+            String reason =
+                    "the store holds generation %d, older than generation %d in force here"
+                            .formatted(state.number(), request.known());
+            return unavailable(request, reason);
+        }
         long seen = request.expect().orElse(state.number());
         if (seen != state.number()) {
             ChangeIdentity identity = new ChangeIdentity(mWriter, 0, request.change());
--- a/config/src/test/java/org/knapweedbank/config/ConfigurationStoreTest.java
+++ b/config/src/test/java/org/knapweedbank/config/ConfigurationStoreTest.java
@@ -192,6 +192,18 @@
         return ((StoreResult.Succeeded<List<AuditRecord>>) result).value();
     }
 
+    /** Guards against a change in a store that lost data, which no entry would take. */
+    @Test
+    void refusesChangeWhenTheStoreHoldsAnOlderGeneration() {
+        apply(0, 1);
+        ChangeRequest request = new ChangeRequest("ana", OptionalLong.of(1), "", false, 2);
+        assertThat(mStore.apply(request, Documents.withWeight(2)).await().indefinitely())
+                .isInstanceOf(ApplyResult.Unavailable.class);
+        assertThat(mStore.setRemoved(request, "a", true).await().indefinitely())
+                .isInstanceOf(ApplyResult.Unavailable.class);
+        assertThat(mFake.transactions()).isEqualTo(1);
+    }
+
     /** Guards against a rejected document reaching the store. */
     @Test
     void rejectedDocumentWritesNothing() {
--- a/entry/src/main/java/org/knapweedbank/entry/operator/ConfigurationRequests.java
+++ b/entry/src/main/java/org/knapweedbank/entry/operator/ConfigurationRequests.java
@@ -37,7 +37,7 @@
     }
 
     Uni<OperatorAnswer> apply(OperatorRequest request) {
-        ChangeRequest change = request.change();
+        ChangeRequest change = request.change(known());
         if (change.expect().isEmpty()) {
             return item(
                     OperatorProblem.answer(
@@ -52,7 +52,7 @@
     }
 
     Uni<OperatorAnswer> setRemoved(OperatorRequest request, String dataCentre, boolean out) {
-        return mStore.setRemoved(request.change(), dataCentre, out).map(ApplyAnswers::of);
+        return mStore.setRemoved(request.change(known()), dataCentre, out).map(ApplyAnswers::of);
     }
 
     Uni<OperatorAnswer> audit(OperatorRequest request) {
@@ -62,6 +62,10 @@
         return mStore.audit(limit, bound).map(this::audited);
     }
 
+    private long known() {
+        return mSource.current().map(SiteConfiguration::generation).orElse(0L);
+    }
+
     private OperatorAnswer audited(StoreResult<List<AuditRecord>> result) {
         if (!(result instanceof StoreResult.Succeeded<List<AuditRecord>>(var records))) {
             return OperatorProblem.unavailable("the store does not answer: " + reason(result));
--- a/entry/src/main/java/org/knapweedbank/entry/operator/OperatorRequest.java
+++ b/entry/src/main/java/org/knapweedbank/entry/operator/OperatorRequest.java
@@ -44,8 +44,12 @@
         return value;
     }
 
-    /** Generation of {@code expect} or {@code If-Match}, and how the change is identified. */
-    ChangeRequest change() {
+    /**
+     * Generation of {@code expect} or {@code If-Match}, and how the change is identified.
+     *
+     * @param known highest generation known to this entry
+     */
+    ChangeRequest change(long known) {
         String change = Optional.ofNullable(query.apply("change")).orElse("");
         if (!CHANGE.matcher(change).matches()) {
             throw new InvalidOperatorRequestException(
@@ -57,7 +61,7 @@
                     "query parameter confirm: found %s; accepted: %s"
                             .formatted(shorten(confirm), CONFIRM_NONE));
         }
-        return new ChangeRequest(operator, expect(), change, confirm != null);
+        return new ChangeRequest(operator, expect(), change, confirm != null, known);
     }
 
     private OptionalLong expect() {
