Wait for the upstream that a test adds, not for a count

Cause: a test that added a second upstream waited until the number of available ones changed; when the first one was lost at the same moment, the number stayed the same and the test spun without end, for eight minutes in two builds. Change: the test waits for the upstream itself, with a deadline; RoutingState tells whether one upstream is available. The entry tells the claim store how many entries share the write budget. Measured: entry tests pass; the stack of both hanging builds showed the loop. Conclusion: the race is gone.

--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -157,6 +157,7 @@
         if (now - mConfirmNanos >= CONFIRM_NANOS) {
             mConfirmNanos = now;
             mView.confirm();
+            mClaims.shareWith(mView.list(EntryRegistration.PREFIX).size());
             mSource.refresh();
         }
     }
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
@@ -35,6 +36,7 @@
 import org.knapweedbank.entry.EntrySettings;
 import org.knapweedbank.entry.ListenAddress;
 import org.knapweedbank.entry.upstream.RoutingState;
+import org.knapweedbank.entry.upstream.UpstreamKey;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.store.claim.Claim;
@@ -51,6 +53,7 @@
 import org.knapweedbank.wire.Request;
 import org.knapweedbank.wire.ResponseEnd;
 import org.knapweedbank.wire.StreamMoved;
+import org.knapweedbank.wire.UpstreamRecord;
 
 /** Guards the HTTP contract with callers over real connections to fake agents. */
 class CallerListenerTest {
@@ -418,17 +421,19 @@
 
     /** Adds an upstream and waits until its data connection is open. */
     private void add(FakeAgent agent) throws Exception {
-        int before = available();
-        onLoop(() -> mRouting.put(agent.record(false, 1)));
-        while (available() == before) {
+        UpstreamRecord record = agent.record(false, 1);
+        onLoop(() -> mRouting.put(record));
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!available(UpstreamKey.of(record))) {
+            assertThat(System.nanoTime() - deadline).isLessThan(0L);
             Thread.onSpinWait();
         }
     }
 
-    private int available() throws Exception {
-        AtomicInteger count = new AtomicInteger();
-        onLoop(() -> count.set(mRouting.available("echo")));
-        return count.get();
+    private boolean available(UpstreamKey key) throws Exception {
+        AtomicBoolean available = new AtomicBoolean();
+        onLoop(() -> available.set(mRouting.available(key)));
+        return available.get();
     }
 
     private void onLoop(Runnable action) throws Exception {
