Split taking over partitions from the partition host

Cause: one file of 550 lines served sessions, jobs and ownership. Change: PartitionTakeover decides about owners and reads journals.

--- a/control/src/main/java/org/knapweedbank/control/PartitionHost.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionHost.java
@@ -3,15 +3,12 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Queue;
-import java.util.Set;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
@@ -24,13 +21,10 @@
 import org.knapweedbank.model.JobSpec;
 import org.knapweedbank.model.VmId;
 import org.knapweedbank.ring.DutyThread;
-import org.knapweedbank.store.StoreResult;
 import org.knapweedbank.store.cache.PrefixView;
-import org.knapweedbank.store.journal.JournalContents;
 import org.knapweedbank.store.journal.PartitionJournal;
 import org.knapweedbank.store.lease.Ownership;
 import org.knapweedbank.store.lease.OwnershipStore;
-import org.knapweedbank.store.lease.StoreOwnership;
 import org.knapweedbank.time.Clock;
 import org.knapweedbank.wire.Heartbeat;
 import org.knapweedbank.wire.Message;
@@ -48,24 +42,18 @@
     private static final int RING_CAPACITY = 16_384;
     private static final Duration STEP = Duration.ofMillis(10);
     private static final long TICK_NANOS = Duration.ofSeconds(1).toNanos();
-    private static final String ENTRY_PREFIX = "/kwb/c/entry/";
 
     private final ControlSettings mSettings;
     private final EntryIdentity mIdentity;
     private final Clock mClock;
     private final ConfigurationSource mSource;
-    private final PrefixView mView;
-    private final OwnershipStore mOwnerships;
-    private final JournalFactory mJournals;
     private final SchedulerFactory mSchedulers;
     private final WorkerLists mWorkers;
-    private final Supplier<OptionalLong> mLease;
+    private final PartitionTakeover mTakeover;
     private final ControlCounters mCounters;
     private final DutyThread mThread;
     private final Queue<Runnable> mCompletions = new ConcurrentLinkedQueue<>();
     private final Map<Integer, OwnedPartition> mPartitions = new HashMap<>();
-    private final Set<Integer> mAcquiring = new HashSet<>();
-    private final Map<Integer, Long> mOwnerlessSince = new HashMap<>();
     private final Map<AgentSession, VmId> mVms = new HashMap<>();
     private final Map<AgentSession, Integer> mSessionPartitions = new HashMap<>();
     private SiteConfiguration mConfiguration;
@@ -103,12 +91,19 @@
         mIdentity = identity;
         mClock = clock;
         mSource = source;
-        mView = view;
-        mOwnerships = ownerships;
-        mJournals = journals;
         mSchedulers = schedulers;
         mWorkers = workers;
-        mLease = lease;
+        mTakeover =
+                new PartitionTakeover(
+                        settings,
+                        identity,
+                        clock,
+                        view,
+                        ownerships,
+                        journals,
+                        lease,
+                        this::complete,
+                        this::run);
         mCounters = new ControlCounters(metrics);
         mThread = new DutyThread("control", RING_CAPACITY, this::step, STEP);
     }
@@ -200,7 +195,8 @@
     }
 
     private Redirect redirect(int partition) {
-        return owner(partition)
+        return mTakeover
+                .owner(partition)
                 .filter(owner -> !owner.ownerId().equals(mIdentity.id()))
                 .map(owner -> new Redirect(owner.ownerAddress(), owner.epoch()))
                 .orElse(new Redirect("", 0));
@@ -237,7 +233,7 @@
         }
         if (tick && mConfiguration != null) {
             checkOwnership();
-            takeOwnerless(now);
+            mTakeover.takeOwnerless(mConfiguration, mPartitions.keySet());
         }
         List.copyOf(mPartitions.values()).forEach(owned -> step(owned, tick));
     }
@@ -273,27 +269,13 @@
 
     /** Gives up partitions that the store says belong to nobody or to another entry. */
     private void checkOwnership() {
-        List<OwnedPartition> lost = new ArrayList<>();
-        mPartitions.values().stream().filter(owned -> !isCurrent(owned)).forEach(lost::add);
+        List<OwnedPartition> lost =
+                mPartitions.values().stream()
+                        .filter(owned -> !mTakeover.isCurrent(owned.ownership()))
+                        .toList();
         lost.forEach(owned -> drop(owned, "the store names no or another owner"));
     }
 
-    private boolean isCurrent(OwnedPartition owned) {
-        Ownership ownership = owned.ownership();
-        return owner(ownership.partition())
-                .filter(owner -> owner.epoch() >= ownership.epoch())
-                .map(owner -> owner.epoch() == ownership.epoch())
-                .orElse(isNewerThanView(ownership));
-    }
-
-    /** The view may lag behind an ownership that has just been acquired. */
-    private boolean isNewerThanView(Ownership ownership) {
-        return mView.get(StoreOwnership.epochKey(ownership.partition()))
-                .flatMap(StoreOwnership::decode)
-                .map(seen -> seen.epoch() < ownership.epoch())
-                .orElse(true);
-    }
-
     private void drop(OwnedPartition owned, String reason) {
         int partition = owned.ownership().partition();
         LOG.warn("[control] partition {} given up: {}", partition, reason);
@@ -316,95 +298,6 @@
                 });
     }
 
-    private void takeOwnerless(long now) {
-        OptionalLong lease = mLease.get();
-        if (lease.isEmpty()) {
-            mOwnerlessSince.clear();
-            return;
-        }
-        for (int partition = 0; partition < Partitions.count(mConfiguration); partition++) {
-            boolean taken =
-                    mPartitions.containsKey(partition)
-                            || mAcquiring.contains(partition)
-                            || owner(partition).isPresent();
-            if (taken) {
-                mOwnerlessSince.remove(partition);
-            } else if (isDue(partition, now)) {
-                acquire(partition, lease.getAsLong());
-            }
-        }
-    }
-
-    private boolean isDue(int partition, long now) {
-        long since = mOwnerlessSince.computeIfAbsent(partition, key -> now);
-        long wait = mSettings.takeoverDelay().toNanos() * rank(partition);
-        return now - since >= wait;
-    }
-
-    /** Entries in the region of the partition go first, in rendezvous order. */
-    private int rank(int partition) {
-        List<String> entries =
-                mView.list(ENTRY_PREFIX).stream()
-                        .map(entry -> entry.key().substring(ENTRY_PREFIX.length()))
-                        .toList();
-        int rank = Partitions.rank(partition, mIdentity.id(), entries);
-        boolean local = region().equals(Partitions.region(mConfiguration, partition));
-        return local ? rank : entries.size() + rank;
-    }
-
-    private Optional<String> region() {
-        return mConfiguration.dataCentres().stream()
-                .filter(dataCentre -> dataCentre.id().equals(mIdentity.dataCentre()))
-                .map(dataCentre -> dataCentre.region())
-                .findFirst();
-    }
-
-    private void acquire(int partition, long lease) {
-        mAcquiring.add(partition);
-        mOwnerships
-                .acquire(partition, mIdentity.id(), mIdentity.frameAddress(), lease)
-                .subscribe()
-                .with(
-                        result -> complete(() -> acquired(partition, result)),
-                        failure -> complete(() -> mAcquiring.remove(partition)));
-    }
-
-    private void acquired(int partition, StoreResult<Optional<Ownership>> result) {
-        boolean won =
-                result instanceof StoreResult.Succeeded<Optional<Ownership>> done
-                        && done.value().isPresent();
-        if (!won) {
-            mAcquiring.remove(partition);
-            return;
-        }
-        Ownership ownership =
-                ((StoreResult.Succeeded<Optional<Ownership>>) result).value().orElseThrow();
-        LOG.info("[control] owns partition {} with epoch {}", partition, ownership.epoch());
-        load(ownership, mJournals.open(ownership));
-    }
-
-    private void load(Ownership ownership, PartitionJournal journal) {
-        journal.load()
-                .subscribe()
-                .with(
-                        result -> complete(() -> loaded(ownership, journal, result)),
-                        failure -> complete(() -> abandon(ownership, journal, failure.toString())));
-    }
-
-    private void loaded(
-            Ownership ownership, PartitionJournal journal, StoreResult<JournalContents> result) {
-        if (!(result instanceof StoreResult.Succeeded<JournalContents>(JournalContents contents))) {
-            abandon(ownership, journal, result.toString());
-            return;
-        }
-        try {
-            run(ownership, journal, JournalReplay.records(contents));
-        } catch (JournalFormatException e) {
-            LOG.error("[control] journal of {} is damaged", ownership.partition(), e);
-            abandon(ownership, journal, e.getMessage());
-        }
-    }
-
     private void run(Ownership ownership, PartitionJournal journal, List<JournalRecord> records) {
         int partition = ownership.partition();
         OwnedPartition owned =
@@ -427,50 +320,25 @@
         controller.recover(records);
         controller.configure(mConfiguration);
         controller.confirmView(mSource.confirmedNanos());
-        mAcquiring.remove(partition);
         mPartitions.put(partition, owned);
         LOG.info("[control] partition {} recovered from {} records", partition, records.size());
     }
 
-    /** Gives up an ownership whose journal could not be read; it is tried again. */
-    private void abandon(Ownership ownership, PartitionJournal journal, String reason) {
-        LOG.warn("[control] journal of {} not loaded: {}", ownership.partition(), reason);
-        journal.close();
-        mOwnerships
-                .release(ownership)
-                .subscribe()
-                .with(
-                        done -> complete(() -> mAcquiring.remove(ownership.partition())),
-                        failure -> complete(() -> mAcquiring.remove(ownership.partition())));
-    }
-
     private void giveUpIdle() {
         List<OwnedPartition> idle =
                 mPartitions.values().stream().filter(owned -> owned.pendingAppends() == 0).toList();
-        idle.forEach(this::giveUp);
-        if (mPartitions.isEmpty() && mAcquiring.isEmpty()) {
+        idle.forEach(
+                owned -> {
+                    drop(owned, "this entry stops");
+                    mTakeover.release(owned.ownership());
+                });
+        if (mPartitions.isEmpty() && mTakeover.isIdle()) {
             Runnable stopped = mStopped;
             mStopped = () -> {};
             stopped.run();
         }
     }
 
-    private void giveUp(OwnedPartition owned) {
-        int partition = owned.ownership().partition();
-        drop(owned, "this entry stops");
-        mAcquiring.add(partition);
-        mOwnerships
-                .release(owned.ownership())
-                .subscribe()
-                .with(
-                        done -> complete(() -> mAcquiring.remove(partition)),
-                        failure -> complete(() -> mAcquiring.remove(partition)));
-    }
-
-    private Optional<Ownership> owner(int partition) {
-        return mView.get(StoreOwnership.ownerKey(partition)).flatMap(StoreOwnership::decode);
-    }
-
     private Optional<OwnedPartition> owned(Integer partition) {
         return Optional.ofNullable(partition).map(mPartitions::get);
     }
@@ -533,7 +401,8 @@
                     int partition = Partitions.ofJob(mConfiguration, job);
                     OwnedPartition owned = mPartitions.get(partition);
                     if (owned == null || mStopped != null) {
-                        String owner = owner(partition).map(Ownership::ownerId).orElse("");
+                        String owner =
+                                mTakeover.owner(partition).map(Ownership::ownerId).orElse("");
                         reply.accept(new JobResult.NotOwner<>(partition, owner));
                         return;
                     }
