--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,10 +6,11 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.routing.RoutingPolicyBenchmark;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
 public final class BenchmarkRunner {
-    private static final List<Benchmark> BENCHMARKS = List.of();
+    private static final List<Benchmark> BENCHMARKS = List.of(new RoutingPolicyBenchmark());
 
     private BenchmarkRunner() {}
 
--- a/bench/src/main/java/org/knapweedbank/bench/routing/LeastConnectionsPool.java
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/LeastConnectionsPool.java
@@ -9,7 +9,9 @@
 import org.knapweedbank.routing.AttemptResult;
 import org.knapweedbank.routing.UpstreamId;
 
-/** Baseline: the upstream with the fewest open requests of this entry; ties are broken at random. */
+/**
+ * Baseline: the upstream with the fewest open requests of this entry; ties are broken at random.
+ */
 final class LeastConnectionsPool implements SimulatedPool {
     private final Map<UpstreamId, Integer> mOpen = new TreeMap<>(LeastConnectionsPool::compare);
     private final Map<UpstreamId, Boolean> mLeaving = new HashMap<>();
--- a/bench/src/main/java/org/knapweedbank/bench/routing/Policy.java
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/Policy.java
@@ -49,8 +49,7 @@
 
     HedgePolicy hedges() {
         return this == PRODUCT || this == NO_RETRY_BUDGET
-                ? new HedgePolicy(
-                        new RetryBudget(HEDGE_SHARE, HEDGE_RESERVE), HEDGE_PERCENTILE)
+                ? new HedgePolicy(new RetryBudget(HEDGE_SHARE, HEDGE_RESERVE), HEDGE_PERCENTILE)
                 : HedgePolicy.none();
     }
 }
--- a/bench/src/main/java/org/knapweedbank/bench/routing/RoutingPolicyBenchmark.java
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/RoutingPolicyBenchmark.java
@@ -87,8 +87,7 @@
         List<Arrival> arrivals = new ArrayList<>();
         double now = 0;
         while (now < Scenario.DURATION) {
-            boolean wave =
-                    scenario.kind() == Scenario.Kind.WAVE && scenario.disturbed((long) now);
+            boolean wave = scenario.kind() == Scenario.Kind.WAVE && scenario.disturbed((long) now);
             double rate = capacity * (wave ? WAVE_LOAD : scenario.load());
             now += exponential(random) / rate;
             arrivals.add(
@@ -105,8 +104,7 @@
         return -Math.log(1 - random.nextDouble());
     }
 
-    private static PolicyResult simulate(
-            Scenario scenario, Policy policy, List<Arrival> arrivals) {
+    private static PolicyResult simulate(Scenario scenario, Policy policy, List<Arrival> arrivals) {
         VirtualTime time = new VirtualTime();
         UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(SEED + 1);
         PolicyResult result = new PolicyResult();
--- a/bench/src/main/java/org/knapweedbank/bench/routing/SimulatedEntry.java
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/SimulatedEntry.java
@@ -102,8 +102,7 @@
             switch (action) {
                 case PlanAction.Send send -> send(send);
                 case PlanAction.SetHedgeTimer set ->
-                        mTime.after(
-                                set.delay().toNanos(), () -> apply(new PlanEvent.HedgeDue()));
+                        mTime.after(set.delay().toNanos(), () -> apply(new PlanEvent.HedgeDue()));
                 case PlanAction.EndAnswer end ->
                         mResult.answered(mTime.monotonicNanos() - mArrival.nanos());
                 case PlanAction.Refuse refuse -> refused(refuse.outcome());
--- a/bench/src/main/java/org/knapweedbank/bench/routing/SimulatedUpstream.java
+++ b/bench/src/main/java/org/knapweedbank/bench/routing/SimulatedUpstream.java
@@ -87,9 +87,7 @@
     }
 
     private boolean disturbed(Scenario.Kind kind) {
-        return mAffected
-                && mScenario.kind() == kind
-                && mScenario.disturbed(mTime.monotonicNanos());
+        return mAffected && mScenario.kind() == kind && mScenario.disturbed(mTime.monotonicNanos());
     }
 
     private UpstreamLoad load() {
--- a/daemon/src/main/java/org/knapweedbank/daemon/EmbeddedRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EmbeddedRole.java
@@ -82,8 +82,7 @@
                         Duration.ZERO,
                         Duration.ofSeconds(10));
         mEntry =
-                new EntryRole(
-                        settings, OperatorKeys.read(mKeyFile), vertx, clock, store, registry);
+                new EntryRole(settings, OperatorKeys.read(mKeyFile), vertx, clock, store, registry);
         AgentSettings agent =
                 new AgentSettings(
                         new DaemonId("agent-1"),
@@ -148,10 +147,7 @@
                                 mEntry.configurations()
                                         .apply(
                                                 new ChangeRequest(
-                                                        "embedded",
-                                                        OptionalLong.of(0),
-                                                        "",
-                                                        false),
+                                                        "embedded", OptionalLong.of(0), "", false),
                                                 document))
                 .invoke(result -> LOG.info("[daemon] configuration: {}", result))
                 .replaceWithVoid();
--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -8,8 +8,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import org.apache.commons.rng.simple.RandomSource;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.knapweedbank.config.ConfigurationStore;
 import org.knapweedbank.config.StoreConfigurationSource;
 import org.knapweedbank.control.ControlSettings;
@@ -44,7 +42,6 @@
 
 /** Entry role: connects the entry daemon with the store, the configuration and the partitions. */
 final class EntryRole implements Role {
-    private static final Logger LOG = LogManager.getLogger(EntryRole.class);
     private static final String WATCHED_PREFIX = "/kwb/c/";
     private static final Duration LEASE_TTL = Duration.ofSeconds(5);
 
@@ -203,7 +200,7 @@
                 LEASE_TTL,
                 registration.key(),
                 registration.encode(),
-                new LeaseLog());
+                new NoAction());
     }
 
     private PartitionHost partitions(DaemonSettings.Entry settings, MetricRegistry registry) {
@@ -250,16 +247,12 @@
         return host + ":" + listener.port();
     }
 
-    /** Logs gain and loss of the store lease. */
-    private static final class LeaseLog implements DaemonLeaseListener {
+    /** The lease logs its gain and loss; partitions ask for it at each use. */
+    private static final class NoAction implements DaemonLeaseListener {
         @Override
-        public void held(long leaseId) {
-            LOG.info("[store] lease {} is held", Long.toHexString(leaseId));
-        }
+        public void held(long leaseId) {}
 
         @Override
-        public void lost(long leaseId) {
-            LOG.warn("[store] lease {} is lost", Long.toHexString(leaseId));
-        }
+        public void lost(long leaseId) {}
     }
 }
--- a/daemon/src/main/java/org/knapweedbank/daemon/KnapweedbankDaemon.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/KnapweedbankDaemon.java
@@ -128,7 +128,9 @@
                 }
                 return check
                         ? Optional.of(EXIT_OK)
-                        : start((vertx, clock, registry) -> entry(entry, keys, vertx, clock, registry));
+                        : start(
+                                (vertx, clock, registry) ->
+                                        entry(entry, keys, vertx, clock, registry));
             }
             case DaemonSettings.Agent agent -> {
                 return check
@@ -216,8 +218,7 @@
 
     private static String version() {
         Properties properties = new Properties();
-        try (InputStream in =
-                KnapweedbankDaemon.class.getResourceAsStream("version.properties")) {
+        try (InputStream in = KnapweedbankDaemon.class.getResourceAsStream("version.properties")) {
             properties.load(in);
         } catch (IOException e) {
             return "unknown";
--- a/daemon/src/test/java/org/knapweedbank/daemon/SettingsReaderTest.java
+++ b/daemon/src/test/java/org/knapweedbank/daemon/SettingsReaderTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvFileSource;
 import org.junit.jupiter.params.provider.CsvSource;
 
 /** Guards against settings that are accepted in part and against errors reported one by one. */
@@ -26,31 +27,7 @@
 
     /** Each row replaces one value of a sample file; the error has to name its line and path. */
     @ParameterizedTest
-    @CsvSource(
-            delimiter = '|',
-            textBlock =
-                    """
-                    entry | "daemon": "entry-1"        | "daemon": ""               | daemon
-                    entry | "daemon": "entry-1"        | "daemon": "a b"            | daemon
-                    entry | "daemon": "entry-1"        | "daemon": 7                | daemon
-                    entry | "dataCentre": "quito-1",   | "other": "x",              | other
-                    entry | "port": 8080               | "port": 65536              | callers.port
-                    entry | "port": 8080               | "port": -1                 | callers.port
-                    entry | "port": 8080               | "port": "8080"             | callers.port
-                    entry | "port": 8080               | "port": 1.5                | callers.port
-                    entry | "port": 8080               | "port": 99999999999999999  | callers.port
-                    entry | "port": 8080               | "prot": 8080               | callers.prot
-                    entry | {"host": "127.0.0.1", "port": 7480} | 7480             | operators
-                    entry | ["127.0.0.1:2379"]         | []                         | store.endpoints
-                    entry | ["127.0.0.1:2379"]         | ["127.0.0.1"]              | store.endpoints.0
-                    entry | ["127.0.0.1:2379"]         | ["a:1", "b:0"]             | store.endpoints.1
-                    entry | "maxBodyBytes": 917504     | "maxBodyBytes": 917505     | limits.maxBodyBytes
-                    entry | "drainDelayMillis": 5000   | "drainDelayMillis": null   | drainDelayMillis
-                    agent | "milliCpu": 64000          | "milliCpu": 0              | capacity.milliCpu
-                    agent | "seeds": ["127.0.0.1:7400"] | "seeds": "127.0.0.1:7400" | seeds
-                    agent | "worker": "127.0.0.1:7600" | "worker": "127.0.0.1"      | worker
-                    agent | "role": "agent"            | "role": "agnet"            | role
-                    """)
+    @CsvFileSource(resources = "wrong-settings.csv", delimiter = '|', quoteCharacter = '~')
     void wrongValueIsReportedWithItsPlace(String role, String from, String to, String path)
             throws Exception {
         String sample = Files.readString(CONF.resolve(role + ".json"));
--- a/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
+++ b/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
@@ -13,6 +13,7 @@
 import org.knapweedbank.wire.FrameConnection;
 import org.knapweedbank.wire.FrameServer;
 import org.knapweedbank.wire.FrameTimeouts;
+import org.knapweedbank.wire.Goodbye;
 import org.knapweedbank.wire.Heartbeat;
 import org.knapweedbank.wire.Message;
 import org.knapweedbank.wire.OperatorCall;
@@ -113,6 +114,8 @@
             }
             case TaskList list -> mControl.received(agent, list);
             case TaskReport report -> mControl.received(agent, report);
+            case Goodbye goodbye ->
+                    LOG.debug("[entry] agent {}: {}", agent.agent(), goodbye.reason());
             default -> {
                 LOG.warn("[entry] agent {} sent an unexpected {}", agent.agent(), name(message));
                 agent.close("unexpected message");
@@ -126,6 +129,9 @@
             case StatusQuery query -> mMembership.query(connection, query);
             case ConfigPush push -> mMembership.offered(push);
             case OperatorCall call -> operatorCall(connection, call);
+            case Goodbye goodbye ->
+                    LOG.debug(
+                            "[entry] entry {}: {}", connection.hello().daemon(), goodbye.reason());
             default -> {
                 LOG.warn(
                         "[entry] entry {} sent an unexpected {}",
--- a/entry/src/main/java/org/knapweedbank/entry/membership/PeerLink.java
+++ b/entry/src/main/java/org/knapweedbank/entry/membership/PeerLink.java
@@ -15,6 +15,7 @@
 import org.knapweedbank.store.lease.EntryRegistration;
 import org.knapweedbank.wire.FrameClient;
 import org.knapweedbank.wire.FrameConnection;
+import org.knapweedbank.wire.Goodbye;
 import org.knapweedbank.wire.Hello;
 import org.knapweedbank.wire.Message;
 import org.knapweedbank.wire.OperatorReply;
@@ -141,6 +142,7 @@
         switch (message) {
             case StatusReply reply -> reply(reply.id(), reply);
             case OperatorReply reply -> reply(reply.id(), reply);
+            case Goodbye goodbye -> LOG.debug("[entry] entry {}: {}", mPeer.id(), goodbye.reason());
             default ->
                     LOG.warn(
                             "[entry] entry {} sent an unexpected {}",
--- a/entry/src/main/java/org/knapweedbank/entry/upstream/AgentConnection.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/AgentConnection.java
@@ -13,6 +13,7 @@
 import org.knapweedbank.wire.Cancel;
 import org.knapweedbank.wire.FrameClient;
 import org.knapweedbank.wire.FrameConnection;
+import org.knapweedbank.wire.Goodbye;
 import org.knapweedbank.wire.Hello;
 import org.knapweedbank.wire.LoadReport;
 import org.knapweedbank.wire.Message;
@@ -234,6 +235,7 @@
             case OutcomeUnknown unknown ->
                     with(unknown.id(), true, (call, id) -> unknown(call, unknown));
             case StreamMoved moved -> with(moved.id(), true, (call, id) -> moved(call));
+            case Goodbye goodbye -> LOG.debug("[entry] agent {}: {}", mAddress, goodbye.reason());
             default ->
                     LOG.warn(
                             "[entry] agent {} sent an unexpected {}",
--- a/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
@@ -230,18 +230,14 @@
     }
 
     /**
-     * Number of upstreams that can take work.
+     * Tells whether an upstream may get new work.
      *
      * @param service the service
-     * @return the count
+     * @param upstream the upstream
+     * @return false if it is leaving, removed, ejected, not known, or its agent is not connected
      */
-    public int available(String service) {
-        UpstreamSelector selector = service(service).selector();
-        return (int)
-                mRecords.keySet().stream()
-                        .filter(key -> key.service().equals(service))
-                        .filter(key -> selector.available(key.id()))
-                        .count();
+    public boolean available(String service, UpstreamId upstream) {
+        return service(service).selector().available(upstream);
     }
 
     /** Closes all connections. */
--- a/entry/src/test/java/org/knapweedbank/entry/EntryDaemonTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/EntryDaemonTest.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.knapweedbank.config.ConfigurationSource;
 import org.knapweedbank.config.ServiceSettings;
 import org.knapweedbank.config.SiteConfiguration;
@@ -56,6 +57,7 @@
 import org.knapweedbank.wire.UpstreamState;
 
 /** Guards the exchange between agents and entries: upstreams, configuration, status and calls. */
+@Timeout(60)
 class EntryDaemonTest {
     private static final long WAIT_SECONDS = 20;
     private static final ListenAddress ANY = new ListenAddress("127.0.0.1", 0);
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -21,11 +21,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.knapweedbank.config.ServiceSettings;
@@ -35,8 +37,10 @@
 import org.knapweedbank.entry.EntrySettings;
 import org.knapweedbank.entry.ListenAddress;
 import org.knapweedbank.entry.upstream.RoutingState;
+import org.knapweedbank.entry.upstream.UpstreamKey;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.routing.UpstreamId;
 import org.knapweedbank.store.claim.Claim;
 import org.knapweedbank.store.claim.ClaimRequest;
 import org.knapweedbank.store.claim.ClaimResult;
@@ -51,8 +55,10 @@
 import org.knapweedbank.wire.Request;
 import org.knapweedbank.wire.ResponseEnd;
 import org.knapweedbank.wire.StreamMoved;
+import org.knapweedbank.wire.UpstreamRecord;
 
 /** Guards the HTTP contract with callers over real connections to fake agents. */
+@Timeout(60)
 class CallerListenerTest {
     private static final long WAIT_SECONDS = 20;
     private static final ListenAddress ANY = new ListenAddress("127.0.0.1", 0);
@@ -418,19 +424,15 @@
 
     /** Adds an upstream and waits until its data connection is open. */
     private void add(FakeAgent agent) throws Exception {
-        int before = available();
-        onLoop(() -> mRouting.put(agent.record(false, 1)));
-        while (available() == before) {
-            Thread.onSpinWait();
+        UpstreamRecord record = agent.record(false, 1);
+        UpstreamId id = UpstreamKey.of(record).id();
+        AtomicBoolean available = new AtomicBoolean();
+        onLoop(() -> mRouting.put(record));
+        while (!available.get()) {
+            onLoop(() -> available.set(mRouting.available("echo", id)));
         }
     }
 
-    private int available() throws Exception {
-        AtomicInteger count = new AtomicInteger();
-        onLoop(() -> count.set(mRouting.available("echo")));
-        return count.get();
-    }
-
     private void onLoop(Runnable action) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         mContext.runOnContext(
