--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import org.knapweedbank.bench.agent.AgentFootprint;
 import org.knapweedbank.bench.capacity.OwnerCapacity;
+import org.knapweedbank.bench.routing.RoutingPolicyBenchmark;
 import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
@@ -28,7 +29,8 @@
                     new AgentFootprint(),
                     new JournalLoadBenchmark(),
                     new QuotaFairness(),
-                    new InterferenceBenchmark());
+                    new InterferenceBenchmark(),
+                    new RoutingPolicyBenchmark());
 
     private BenchmarkRunner() {}
 
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -27,6 +27,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.knapweedbank.config.ServiceSettings;
@@ -39,6 +40,7 @@
 import org.knapweedbank.entry.upstream.UpstreamKey;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.routing.UpstreamId;
 import org.knapweedbank.store.claim.Claim;
 import org.knapweedbank.store.claim.ClaimRequest;
 import org.knapweedbank.store.claim.ClaimResult;
@@ -56,6 +58,7 @@
 import org.knapweedbank.wire.UpstreamRecord;
 
 /** Guards the HTTP contract with callers over real connections to fake agents. */
+@Timeout(60)
 class CallerListenerTest {
     private static final long WAIT_SECONDS = 20;
     private static final ListenAddress ANY = new ListenAddress("127.0.0.1", 0);
@@ -422,6 +425,7 @@
     /** Adds an upstream and waits until its data connection is open. */
     private void add(FakeAgent agent) throws Exception {
         UpstreamRecord record = agent.record(false, 1);
+<<<<<<< HEAD
         onLoop(() -> mRouting.put(record));
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
         while (!available(UpstreamKey.of(record))) {
@@ -436,6 +440,16 @@
         return available.get();
     }
 
+=======
+        UpstreamId id = UpstreamKey.of(record).id();
+        AtomicBoolean available = new AtomicBoolean();
+        onLoop(() -> mRouting.put(record));
+        while (!available.get()) {
+            onLoop(() -> available.set(mRouting.available("echo", id)));
+        }
+    }
+
+>>>>>>> entry
     private void onLoop(Runnable action) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         mContext.runOnContext(
