--- a/scheduling/src/test/java/org/knapweedbank/scheduling/PartitionSchedulerTest.java
+++ b/scheduling/src/test/java/org/knapweedbank/scheduling/PartitionSchedulerTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -247,4 +248,49 @@
         assertThat(place.reserved().milliCpu()).isLessThan(2_500);
         assertThat(place.reserved().memoryMb()).isEqualTo(4 * 1_024);
     }
+
+    /** Guards against a quarantined VM taking tasks, or more than one task in its retest. */
+    @Test
+    void excludesQuarantinedVmAndRetestsWithOneTask() {
+        VmId bad = mFixture.vm("bad", "d1", 4);
+        VmId good = mFixture.vm("good", "d1", 4);
+        for (String job : List.of("a", "b", "c")) {
+            mScheduler.recordSuccess(mFixture.batch(job, 0, 1).id(), good);
+            mScheduler.recordFailure(mFixture.batch(job, 0, 1).id(), bad);
+        }
+        for (int i = 0; i < 8; i++) {
+            mFixture.enqueue(mFixture.batch("job", i, 1));
+        }
+        assertThat(mFixture.placements()).hasSize(4);
+        assertThat(mScheduler.explain(new JobId("job"))).contains("4 tasks of job job wait");
+        mFixture.advance(Duration.ofMinutes(2));
+        List<String> retest = mFixture.placements();
+        assertThat(retest).hasSize(1);
+        mScheduler.recordSuccess(mFixture.batch("job", 4, 1).id(), bad);
+        assertThat(mFixture.placements()).hasSize(3);
+    }
+
+    /** Guards against a team that was idle being given no more than its weight afterwards. */
+    @Test
+    void timeAwareDivisionFavoursTeamThatUsedLess() {
+        mFixture.vm("a", "d1", 10);
+        mScheduler.setQuotas(
+                Map.of(
+                        "busy", new TeamQuota(Resources.NONE, 1, 0),
+                        "idle", new TeamQuota(Resources.NONE, 1, 0)));
+        for (int i = 0; i < 40; i++) {
+            mFixture.enqueue(mFixture.task("busy", i, "busy", JobKind.BATCH, 1, false));
+        }
+        assertThat(mFixture.placements()).hasSize(10);
+        mFixture.advance(Duration.ofHours(4));
+        for (int i = 0; i < 40; i++) {
+            mFixture.enqueue(mFixture.task("idle", i, "idle", JobKind.BATCH, 1, false));
+        }
+        for (int i = 0; i < 10; i++) {
+            mScheduler.release(mFixture.batch("busy", i, 1).id());
+        }
+        List<String> placed = mFixture.placements();
+        assertThat(placed).hasSize(10);
+        assertThat(placed.stream().filter(id -> id.startsWith("idle")).count()).isAtLeast(8L);
+    }
 }
