Export and restore what the scheduler has learned

PartitionScheduler.learnedState returns a bounded record and restoreLearnedState takes it over; a round trip is tested.

--- a/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
@@ -57,6 +57,7 @@
     private final VmSelector mSelector;
     private final VictimSelector mVictims;
     private final UsageEstimates mEstimates = new UsageEstimates();
+    private final PairPenalties mPenalties;
     private final InterferenceControl mInterference;
     private final QuarantineTracker mQuarantine;
     private final WaitExplainer mExplainer;
@@ -86,7 +87,8 @@
             SchedulerSettings settings, Clock clock, UniformRandomProvider random) {
         mSettings = settings;
         mClock = clock;
-        PairPenalties costs = new PairPenalties(clock);
+        mPenalties = new PairPenalties(clock);
+        PairPenalties costs = mPenalties;
         mInterference = new InterferenceControl(clock, costs);
         mQuarantine = new QuarantineTracker(clock, random);
         mLedger =
@@ -413,6 +415,26 @@
         return actions;
     }
 
+    /**
+     * What has been learned about task classes, for the snapshot of the partition.
+     *
+     * @return the learned state
+     */
+    public LearnedState learnedState() {
+        return new LearnedState(mEstimates.snapshot(), mPenalties.snapshot());
+    }
+
+    /**
+     * Takes over what an earlier owner of the partition has learned.
+     *
+     * @param state the learned state
+     */
+    public void restoreLearnedState(LearnedState state) {
+        mEstimates.restore(state.usage());
+        mPenalties.restore(state.penalties());
+        mEstimatesChanged = true;
+    }
+
     @Override
     public String explain(JobId job) {
         List<String> sentences = new ArrayList<>();
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/interference/PairPenalties.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/interference/PairPenalties.java
@@ -1,8 +1,11 @@
 package org.knapweedbank.scheduling.interference;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import org.knapweedbank.scheduling.LearnedState;
 import org.knapweedbank.scheduling.placement.PairCosts;
 import org.knapweedbank.time.Clock;
 
@@ -14,6 +17,9 @@
     /** Time after which an observation counts half, since load shifts within the day. */
     private static final double HALF_LIFE_NANOS = Duration.ofMinutes(30).toNanos();
 
+    /** Penalties below this are left out of the snapshot. */
+    private static final double NEGLIGIBLE = 0.01;
+
     private static final class Cell {
         private double mValue;
         private long mNanos;
@@ -78,4 +84,34 @@
         cell.mValue = before + weight * (observed - before);
         cell.mNanos = mClock.monotonicNanos();
     }
+
+    /**
+     * What has been learned.
+     *
+     * @return the pairs with a penalty that matters
+     */
+    public List<LearnedState.PairPenalty> snapshot() {
+        List<LearnedState.PairPenalty> pairs = new ArrayList<>();
+        for (Map.Entry<String, Integer> service : mNumbers.entrySet()) {
+            for (Map.Entry<String, Integer> batch : mNumbers.entrySet()) {
+                double value = cost(service.getValue(), batch.getValue());
+                if (value >= NEGLIGIBLE) {
+                    pairs.add(
+                            new LearnedState.PairPenalty(service.getKey(), batch.getKey(), value));
+                }
+            }
+        }
+        return pairs;
+    }
+
+    /**
+     * Takes over what has been learned before; decay continues from the present.
+     *
+     * @param pairs the pairs
+     */
+    public void restore(List<LearnedState.PairPenalty> pairs) {
+        for (LearnedState.PairPenalty pair : pairs) {
+            observe(numberOf(pair.serviceClass()), numberOf(pair.batchClass()), pair.value(), 1);
+        }
+    }
 }
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/placement/UsageEstimates.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/placement/UsageEstimates.java
@@ -1,8 +1,10 @@
 package org.knapweedbank.scheduling.placement;
 
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.knapweedbank.model.Resources;
+import org.knapweedbank.scheduling.LearnedState;
 
 /**
  * Ratio of measured to declared usage by task class. Processor time is corrected in both
@@ -113,4 +115,41 @@
                 (long) Math.ceil(declared.memoryMb() * estimate.mMemoryRatio),
                 declared.accelerators());
     }
+
+    /**
+     * What has been learned.
+     *
+     * @return the usage by class
+     */
+    public List<LearnedState.ClassUsage> snapshot() {
+        return mEstimates.entrySet().stream()
+                .map(
+                        entry ->
+                                new LearnedState.ClassUsage(
+                                        entry.getKey(),
+                                        entry.getValue().mSamples,
+                                        entry.getValue().mCpuMean,
+                                        entry.getValue().mCpuVariance,
+                                        entry.getValue().mMemoryPeak))
+                .toList();
+    }
+
+    /**
+     * Takes over what has been learned before.
+     *
+     * @param usage the usage by class
+     */
+    public void restore(List<LearnedState.ClassUsage> usage) {
+        for (LearnedState.ClassUsage learned : usage) {
+            Estimate estimate = new Estimate();
+            estimate.mSamples = learned.samples();
+            estimate.mCpuMean = learned.cpuMean();
+            estimate.mCpuVariance = learned.cpuVariance();
+            estimate.mMemoryPeak = learned.memoryPeak();
+            if (estimate.mSamples >= MIN_SAMPLES) {
+                update(estimate);
+            }
+            mEstimates.put(learned.taskClass(), estimate);
+        }
+    }
 }
--- a/scheduling/src/test/java/org/knapweedbank/scheduling/InterferenceTest.java
+++ b/scheduling/src/test/java/org/knapweedbank/scheduling/InterferenceTest.java
@@ -105,4 +105,15 @@
         mFixture.schedule();
         assertThat(mFixture.vmOf(next)).isEqualTo(new VmId("b"));
     }
+
+    /** Guards against a change of owner losing what was learned. */
+    @Test
+    void restoresWhatWasLearned() {
+        run(40, 2, Duration.ZERO);
+        LearnedState learned = mScheduler.learnedState();
+        assertThat(learned.penalties()).hasSize(1);
+        SchedulerFixture other = new SchedulerFixture();
+        other.mScheduler.restoreLearnedState(learned);
+        assertThat(other.mScheduler.learnedState()).isEqualTo(learned);
+    }
 }
