--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,10 +6,15 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.agent.AgentFootprint;
+import org.knapweedbank.bench.capacity.OwnerCapacity;
+import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.QuotaFairness;
 import org.knapweedbank.bench.scheduling.UrgentStart;
+import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
 public final class BenchmarkRunner {
@@ -18,7 +23,12 @@
                     new PlacementThroughput(),
                     new PlacementLatency(),
                     new PlacementQuality(),
-                    new UrgentStart());
+                    new UrgentStart(),
+                    new OwnerCapacity(),
+                    new AgentFootprint(),
+                    new JournalLoadBenchmark(),
+                    new QuotaFairness(),
+                    new InterferenceBenchmark());
 
     private BenchmarkRunner() {}
 
