--- a/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
+++ b/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
@@ -114,12 +114,8 @@
             }
             case TaskList list -> mControl.received(agent, list);
             case TaskReport report -> mControl.received(agent, report);
-<<<<<<< HEAD
-            case Goodbye goodbye -> agent.close(goodbye.reason());
-=======
             case Goodbye goodbye ->
                     LOG.debug("[entry] agent {}: {}", agent.agent(), goodbye.reason());
->>>>>>> entry
             default -> {
                 LOG.warn("[entry] agent {} sent an unexpected {}", agent.agent(), name(message));
                 agent.close("unexpected message");
--- a/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
@@ -240,16 +240,6 @@
         return service(service).selector().available(upstream);
     }
 
-    /**
-     * Tells whether an upstream can be selected.
-     *
-     * @param key the upstream
-     * @return true if its data connection is open and it takes new work
-     */
-    public boolean available(UpstreamKey key) {
-        return mRecords.containsKey(key) && service(key.service()).selector().available(key.id());
-    }
-
     /** Closes all connections. */
     public void close() {
         mConnections.values().forEach(AgentConnection::close);
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -425,31 +425,16 @@
     /** Adds an upstream and waits until its data connection is open. */
     private void add(FakeAgent agent) throws Exception {
         UpstreamRecord record = agent.record(false, 1);
-<<<<<<< HEAD
-        onLoop(() -> mRouting.put(record));
-        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (!available(UpstreamKey.of(record))) {
-            assertThat(System.nanoTime() - deadline).isLessThan(0L);
-            Thread.onSpinWait();
-        }
-    }
-
-    private boolean available(UpstreamKey key) throws Exception {
-        AtomicBoolean available = new AtomicBoolean();
-        onLoop(() -> available.set(mRouting.available(key)));
-        return available.get();
-    }
-
-=======
         UpstreamId id = UpstreamKey.of(record).id();
         AtomicBoolean available = new AtomicBoolean();
         onLoop(() -> mRouting.put(record));
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
         while (!available.get()) {
+            assertThat(System.nanoTime() - deadline).isLessThan(0L);
             onLoop(() -> available.set(mRouting.available("echo", id)));
         }
     }
 
->>>>>>> entry
     private void onLoop(Runnable action) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         mContext.runOnContext(
