Reject waiting tasks when the last VM that could hold them is forgotten

The catalog now tells when it forgets a capacity, and blocked tasks that fit nowhere are considered again. After a change of usage estimates only the tasks whose corrected need has changed are unblocked, where before all were.

--- a/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
@@ -128,7 +128,7 @@
     @Override
     public void setFleetComplete(boolean complete) {
         mFleetComplete = complete;
-        mQueues.unblockAll();
+        mQueues.unblockIf((task, need) -> !mayFit(need));
     }
 
     @Override
@@ -199,7 +199,7 @@
         List<SchedulingDecision> decisions = new ArrayList<>();
         mQuarantine.advance().forEach(this::applyVerdict);
         serveReservations(decisions, limit);
-        reconsiderAfterEstimates();
+        reconsider();
         mQueues.unblockUrgent(MAX_URGENT_RETRIES);
         useGrowth();
         int failures = 0;
@@ -215,12 +215,14 @@
         return decisions;
     }
 
-    private void reconsiderAfterEstimates() {
+    /** Unblocks tasks whose corrected need has changed or for which no VM is left. */
+    private void reconsider() {
         long now = mClock.monotonicNanos();
-        if (mEstimatesChanged && now - mReconsideredNanos >= RECONSIDER_INTERVAL_NANOS) {
+        boolean due = mEstimatesChanged && now - mReconsideredNanos >= RECONSIDER_INTERVAL_NANOS;
+        if (mLedger.catalog().forgetOld(now) || due) {
             mEstimatesChanged = false;
             mReconsideredNanos = now;
-            mQueues.unblockAll();
+            mQueues.unblockIf((task, need) -> !need(task).equals(need) || !mayFit(need));
         }
     }
 
@@ -278,7 +280,7 @@
     }
 
     private boolean mayFit(Resources need) {
-        return mLedger.catalog().mayFit(need, mClock.monotonicNanos());
+        return mLedger.catalog().mayFit(need);
     }
 
     private void place(
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/placement/CapacityCatalog.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/placement/CapacityCatalog.java
@@ -15,18 +15,29 @@
     private final long mMemoryNanos;
     private Resources mTotal = Resources.NONE;
 
+    /** Capacities of which no VM is registered. */
+    private int mDeparted;
+
     CapacityCatalog(long memoryNanos) {
         mMemoryNanos = memoryNanos;
     }
 
     void add(Resources capacity) {
-        mEntries.computeIfAbsent(capacity, key -> new Entry()).mLive++;
+        Entry entry = mEntries.get(capacity);
+        if (entry == null) {
+            entry = new Entry();
+            mEntries.put(capacity, entry);
+        } else if (entry.mLive == 0) {
+            mDeparted--;
+        }
+        entry.mLive++;
         mTotal = mTotal.plus(capacity);
     }
 
     void remove(Resources capacity, long nowNanos) {
         Entry entry = mEntries.get(capacity);
         entry.mLive--;
+        mDeparted += entry.mLive == 0 ? 1 : 0;
         entry.mLeftNanos = nowNanos;
         mTotal = mTotal.minus(capacity);
     }
@@ -44,17 +55,27 @@
      * Tells whether some VM, if empty, would hold an amount.
      *
      * @param need the amount
-     * @param nowNanos monotonic time
      * @return true if a known VM is large enough, or no VM is known
      */
-    public boolean mayFit(Resources need, long nowNanos) {
-        forgetOld(nowNanos);
+    public boolean mayFit(Resources need) {
         return mEntries.isEmpty() || mEntries.keySet().stream().anyMatch(need::fitsIn);
     }
 
-    private void forgetOld(long nowNanos) {
+    /**
+     * Forgets the capacities of VMs that left too long ago.
+     *
+     * @param nowNanos monotonic time
+     * @return true if one was forgotten, after which {@link #mayFit} may change
+     */
+    public boolean forgetOld(long nowNanos) {
+        if (mDeparted == 0) {
+            return false;
+        }
+        int before = mEntries.size();
         mEntries.values()
                 .removeIf(entry -> entry.mLive == 0 && nowNanos - entry.mLeftNanos > mMemoryNanos);
+        mDeparted -= before - mEntries.size();
+        return mEntries.size() < before;
     }
 
     /**
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/quota/PendingQueues.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/quota/PendingQueues.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
@@ -177,10 +178,18 @@
         }
     }
 
-    /** Unblocks all shapes, after a change that may concern any of them. */
-    public void unblockAll() {
+    /**
+     * Unblocks the shapes for which a condition holds.
+     *
+     * @param condition takes the first task of the shape and the resources it was blocked for
+     */
+    public void unblockIf(BiPredicate<PendingTask, Resources> condition) {
         for (TeamQueue team : mTeams.values()) {
-            List.copyOf(team.blocked()).forEach(this::unblock);
+            List<ShapeQueue> changed =
+                    team.blocked().stream()
+                            .filter(shape -> condition.test(shape.head(), shape.blockedNeed()))
+                            .toList();
+            changed.forEach(this::unblock);
         }
     }
 
--- a/scheduling/src/test/java/org/knapweedbank/scheduling/PartitionSchedulerTest.java
+++ b/scheduling/src/test/java/org/knapweedbank/scheduling/PartitionSchedulerTest.java
@@ -56,7 +56,6 @@
         assertThat(mFixture.schedule()).isEmpty();
         mFixture.advance(SchedulerSettings.defaults().capacityMemory().plusSeconds(1));
         mFixture.vm("other", "d1", 4);
-        mScheduler.setFleetComplete(true);
         assertThat(only(mFixture.schedule()).reason()).contains("8 cores against 4 cores");
     }
 
