--- a/scheduling/src/main/java/org/knapweedbank/scheduling/quota/PendingQueues.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/quota/PendingQueues.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.BiPredicate;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
@@ -85,7 +86,15 @@
      * @return the account, created if needed
      */
     public TeamQueue team(String name) {
-        return mTeams.computeIfAbsent(name, key -> new TeamQueue(key, mClock.monotonicNanos()));
+        TeamQueue known = mTeams.get(name);
+        if (known != null) {
+            return known;
+        }
+        TeamQueue team = new TeamQueue(name, mClock.monotonicNanos());
+        mTeams.put(name, team);
+        computeWeights();
+        rankAll();
+        return team;
     }
 
     /**
@@ -169,10 +178,18 @@
         }
     }
 
-    /** Unblocks all shapes, after a change that may concern any of them. */
-    public void unblockAll() {
+    /**
+     * Unblocks the shapes for which a condition holds.
+     *
+     * @param condition takes the first task of the shape and the resources it was blocked for
+     */
+    public void unblockIf(BiPredicate<PendingTask, Resources> condition) {
         for (TeamQueue team : mTeams.values()) {
-            List.copyOf(team.blocked()).forEach(this::unblock);
+            List<ShapeQueue> changed =
+                    team.blocked().stream()
+                            .filter(shape -> condition.test(shape.head(), shape.blockedNeed()))
+                            .toList();
+            changed.forEach(this::unblock);
         }
     }
 
@@ -384,9 +401,12 @@
                 mTeams.values().stream()
                         .filter(team -> !team.shapes().isEmpty() || team.decayedUsage() > 0)
                         .toList();
-        double weights = active.stream().mapToDouble(team -> team.quota().weight()).sum();
+        double weights =
+                (active.isEmpty() ? mTeams.values() : active)
+                        .stream().mapToDouble(team -> team.quota().weight()).sum();
         double usage = active.stream().mapToDouble(TeamQueue::decayedUsage).sum();
-        for (TeamQueue team : active) {
+        // Teams without work get a weight on the same scale, since they may submit at any moment.
+        for (TeamQueue team : mTeams.values()) {
             double weight = team.quota().weight() / Math.max(Double.MIN_NORMAL, weights);
             double used = usage <= 0 ? weight : team.decayedUsage() / usage;
             team.setEffectiveWeight(Math.max(weight + aware.k() * (weight - used), 0));
