--- /dev/null
+++ b/faults/src/test/java/org/knapweedbank/agent/UpstreamSeam.java
@@ -0,0 +1,43 @@
+package org.knapweedbank.agent;
+
+import java.util.List;
+import org.knapweedbank.time.Clock;
+import org.knapweedbank.wire.UpstreamState;
+
+/** Gives the fault matrix the announcement table and the upstream feed of an agent. */
+public final class UpstreamSeam {
+    private final UpstreamFeed mFeed = new UpstreamFeed();
+    private final AnnouncementTable mTable;
+
+    public UpstreamSeam(Clock clock) {
+        mTable = new AnnouncementTable(clock, mFeed::changed);
+    }
+
+    public void announce(String address, boolean leaving) {
+        try {
+            mTable.announce(new Announcement("svc", address, 8, 64, leaving));
+        } catch (AnnouncementException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
+    public void expire() {
+        mTable.expire();
+    }
+
+    public boolean accepts() {
+        return mTable.select("svc").isPresent();
+    }
+
+    public void sessionOpened() {
+        mFeed.sessionOpened();
+    }
+
+    public List<UpstreamState> take(long seq) {
+        return mFeed.take(seq);
+    }
+
+    public void acknowledged(long seq) {
+        mFeed.acknowledged(seq);
+    }
+}
--- a/faults/src/test/java/org/knapweedbank/control/OwnerSeam.java
+++ b/faults/src/test/java/org/knapweedbank/control/OwnerSeam.java
@@ -59,8 +59,9 @@
         return mOwned.controller();
     }
 
-    public void compactAfter(int segments) {
-        mOwned.compactAfter(segments);
+    /** True if no record waits for its commit, so that the partition may be given up. */
+    public boolean isIdle() {
+        return mOwned.pendingAppends() == 0;
     }
 
     public void close() {
--- a/faults/src/test/java/org/knapweedbank/faults/FaultMatrix.java
+++ b/faults/src/test/java/org/knapweedbank/faults/FaultMatrix.java
@@ -8,6 +8,7 @@
 import java.util.stream.LongStream;
 import java.util.stream.Stream;
 import org.knapweedbank.faults.configuration.ConfigurationDomain;
+import org.knapweedbank.faults.membership.MembershipDomain;
 import org.knapweedbank.faults.request.RequestDomain;
 import org.knapweedbank.faults.task.TaskDomain;
 
@@ -44,7 +45,11 @@
     }
 
     public static List<FaultDomain> domains() {
-        return List.of(new TaskDomain(), new RequestDomain(), new ConfigurationDomain());
+        return List.of(
+                new TaskDomain(),
+                new RequestDomain(),
+                new ConfigurationDomain(),
+                new MembershipDomain());
     }
 
     /** The cells of a step: each single fault, and a sample of pairs. */
--- a/faults/src/test/java/org/knapweedbank/faults/task/SimEntry.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/SimEntry.java
@@ -58,6 +58,7 @@
     private OwnerSeam mOwned;
     private GroupCommitJournal mJournal;
     private boolean mAcquiring;
+    private boolean mStopping;
     private long mLease;
     private Ownership mSeenOwner;
     private long mConfirmedNanos = Long.MIN_VALUE;
@@ -103,9 +104,19 @@
         List.copyOf(mVms.keySet()).forEach(SimLink::brokenByEntry);
     }
 
+    /** The planned stop: waits for the journal, then gives the partition up. */
+    void stop() {
+        mSimulation.trace(mName, "stops");
+        mStopping = true;
+    }
+
     // Steps
 
     private void step() {
+        if (mStopping) {
+            stopWhenIdle();
+            return;
+        }
         if (mOwned != null) {
             mJournal.tick();
         }
@@ -114,7 +125,25 @@
         }
     }
 
+    private void stopWhenIdle() {
+        if (mOwned != null) {
+            mJournal.tick();
+        }
+        if (mOwned != null && mOwned.isIdle()) {
+            Ownership ownership = mOwned.ownership();
+            drop();
+            call(mOwnerships.release(ownership), result -> {});
+        }
+        if (mOwned == null) {
+            kill();
+        }
+    }
+
     private void tick() {
+        if (mStopping) {
+            keepLease();
+            return;
+        }
         keepLease();
         readConfiguration();
         readOwner();
@@ -348,7 +377,7 @@
     }
 
     private void open(SimLink link, SessionOpen open) {
-        if (mOwned == null) {
+        if (mOwned == null || mStopping) {
             boolean known = mSeenOwner != null && !mSeenOwner.ownerId().equals(mName);
             link.send(
                     known
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskRecord.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskRecord.java
@@ -119,6 +119,13 @@
                 .forEach(run -> mSimulation.violate(2, run + " runs after the commit of " + ended));
     }
 
+    /** Checks after a planned stop that no task had to start again. */
+    void checkNothingRepeated() {
+        mExecutions.stream()
+                .filter(run -> run.mAttempt > 1)
+                .forEach(run -> mSimulation.violate(9, run + " was interrupted by a stop"));
+    }
+
     /** Checks at the end that each committed finish was executed. */
     void check() {
         mFinished.keySet().stream()
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskStep.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskStep.java
@@ -25,7 +25,9 @@
     SESSION_OF_NEW_OWNER(Scenario.TAKEOVER),
     FORMER_OWNER_CUT_OFF(Scenario.STORE_CUT),
     SESSION_AFTER_CUT_OFF(Scenario.STORE_CUT),
-    SESSION_AFTER_MOVE(Scenario.STORE_CUT_MOVED);
+    SESSION_AFTER_MOVE(Scenario.STORE_CUT_MOVED),
+    OWNER_STOPPING(Scenario.STOP),
+    SESSION_AFTER_STOP(Scenario.STOP);
 
     /** What happens in the cell apart from the fault. */
     enum Scenario {
@@ -37,7 +39,9 @@
         TAKEOVER,
         STORE_CUT,
         /** The former owner is cut off from the store, and the agents go to the next one. */
-        STORE_CUT_MOVED
+        STORE_CUT_MOVED,
+        /** The owner stops as planned and gives its partition up. */
+        STOP
     }
 
     private final Scenario mScenario;
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskWorld.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskWorld.java
@@ -337,6 +337,7 @@
             step(TaskStep.SESSION_OF_NEW_OWNER, vm);
             step(TaskStep.SESSION_AFTER_CUT_OFF, vm);
             step(TaskStep.SESSION_AFTER_MOVE, vm);
+            step(TaskStep.SESSION_AFTER_STOP, vm);
         }
     }
 
@@ -360,6 +361,12 @@
             case DRAIN -> later(() -> takeOut(VMS.get(vm)));
             case CANCEL -> later(() -> cancel(vm));
             case TAKEOVER -> later(() -> kill("entry1"));
+            case STOP ->
+                    later(
+                            () -> {
+                                mEntries.get("entry1").stop();
+                                step(TaskStep.OWNER_STOPPING, vm);
+                            });
             case STORE_CUT, STORE_CUT_MOVED ->
                     later(
                             () -> {
@@ -579,6 +586,10 @@
             mSimulation.violate(3, "work is lost or stuck: " + summaries());
         }
         mRecord.check();
+        boolean planned = mStep.scenario() == TaskStep.Scenario.STOP;
+        if (planned && mFaults.equals(List.of(Fault.NONE))) {
+            mRecord.checkNothingRepeated();
+        }
         return new CellOutcome(mFired, mSimulation);
     }
 
