Forget expired marks before an attempt is marked as not run

Cause: DuplicateTable.notRun found a mark whose time had passed but which no call had removed yet, and stated "not run" by it. The next admission removed the mark, and a late copy of the attempt ran (invariant 6).

Change: notRun forgets what has expired first, as admit and query do.

--- a/routing/src/main/java/org/knapweedbank/routing/duplicate/DuplicateTable.java
+++ b/routing/src/main/java/org/knapweedbank/routing/duplicate/DuplicateTable.java
@@ -153,6 +153,8 @@
      *     room for a mark or the attempt has been passed on, so that nothing is proven
      */
     public boolean notRun(AttemptKey key, String reason) {
+        // A mark that has expired is forgotten by the next call, so it proves nothing any more.
+        expire();
         Entry<A> entry = mByAttempt.get(key.attemptId());
         if (entry != null && entry.mState != State.RUNNING) {
             return entry.mState == State.NOT_RUN;
