Reserve what the scheduler reserves, delay refused starts, keep what was learned

Cause: the ledger holds corrected amounts while the start carried the declared ones, so agent and owner could disagree; a start that agents refuse for good was tried 36 times in seconds; usage estimates and penalties were lost at a takeover.

--- a/control/src/main/java/org/knapweedbank/control/AttemptControl.java
+++ b/control/src/main/java/org/knapweedbank/control/AttemptControl.java
@@ -18,6 +18,12 @@
 
 /** Ends, stops, checkpoints and throttles attempts. */
 final class AttemptControl {
+    /** A start that agents refuse, for example for an unknown program, is tried less and less. */
+    private static final long FIRST_DELAY_NANOS = 1_000_000_000L;
+
+    /** Bounds the delay to 64 s. */
+    private static final int MAX_DOUBLINGS = 6;
+
     private final PartitionContext mContext;
 
     /** Placed attempts whose start this owner has not sent. */
@@ -29,6 +35,9 @@
     /** Replicas that are kept until their successor runs, with the time at which they stop. */
     private final Map<TaskId, Long> mKept = new LinkedHashMap<>();
 
+    /** Tasks that wait before their next attempt, with the time at which they are queued. */
+    private final Map<TaskEntry, Long> mDelayed = new LinkedHashMap<>();
+
     AttemptControl(PartitionContext context) {
         mContext = context;
     }
@@ -95,11 +104,38 @@
             mContext.scheduler().recordFailure(task.id(), vm);
         }
         if (task.isPending() && task.attempt() == record.attempt() + 1) {
-            enqueue(task);
+            enqueueAgain(task);
         }
         committed.run();
     }
 
+    /** The second and further refusals in a row delay the next attempt, each twice as long. */
+    private void enqueueAgain(TaskEntry task) {
+        if (task.refusals() < 2) {
+            enqueue(task);
+            return;
+        }
+        int doublings = Math.min(task.refusals() - 2, MAX_DOUBLINGS);
+        mDelayed.put(task, mContext.nowNanos() + (FIRST_DELAY_NANOS << doublings));
+    }
+
+    /** Puts tasks into the queue whose delay has passed. */
+    void enqueueDelayed() {
+        long now = mContext.nowNanos();
+        List<TaskEntry> due =
+                mDelayed.entrySet().stream()
+                        .filter(delayed -> now - delayed.getValue() >= 0)
+                        .map(Map.Entry::getKey)
+                        .toList();
+        due.forEach(
+                task -> {
+                    mDelayed.remove(task);
+                    if (task.isPending()) {
+                        enqueue(task);
+                    }
+                });
+    }
+
     /** Sends a command about the present attempt and notes its time. */
     void send(VmSession session, TaskEntry task, Message message) {
         task.setCommandNanos(mContext.nowNanos());
--- a/control/src/main/java/org/knapweedbank/control/JobReports.java
+++ b/control/src/main/java/org/knapweedbank/control/JobReports.java
@@ -40,6 +40,22 @@
                             + count(job, TaskEntry::isActive)
                             + " tasks have not confirmed their end yet.");
         }
+        Optional<TaskEntry> refused =
+                job.tasks().stream()
+                        .filter(task -> task.isPending() && task.refusals() > 1)
+                        .findFirst();
+        if (refused.isPresent()) {
+            TaskEntry task = refused.get();
+            return Optional.of(
+                    "The start of "
+                            + task.id()
+                            + " was refused "
+                            + task.refusals()
+                            + " times in a row, the last time with: "
+                            + task.detail()
+                            + ". It is tried again, at most every 64 s; cancel the job if the"
+                            + " cause cannot be mended.");
+        }
         if (count(job, TaskEntry::isPending) > 0) {
             return Optional.empty();
         }
--- a/control/src/main/java/org/knapweedbank/control/JournalRecord.java
+++ b/control/src/main/java/org/knapweedbank/control/JournalRecord.java
@@ -6,8 +6,10 @@
 import java.util.List;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.JobSpec;
+import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
+import org.knapweedbank.scheduling.LearnedState;
 
 /** One change of a partition's state. The state is the result of applying all records in order. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.WRAPPER_ARRAY)
@@ -21,6 +23,7 @@
     @JsonSubTypes.Type(value = JournalRecord.TaskReplaced.class, name = "x"),
     @JsonSubTypes.Type(value = JournalRecord.VmRegistered.class, name = "v"),
     @JsonSubTypes.Type(value = JournalRecord.VmForgotten.class, name = "f"),
+    @JsonSubTypes.Type(value = JournalRecord.SchedulerLearned.class, name = "l"),
     @JsonSubTypes.Type(value = JournalRecord.JobSnapshot.class, name = "j")
 })
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -69,9 +72,11 @@
      * @param task the task
      * @param attempt the attempt
      * @param vm the VM
+     * @param reserved resources reserved on the VM; they may differ from the declared ones
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-    record TaskPlaced(TaskId task, int attempt, VmId vm) implements JournalRecord {}
+    record TaskPlaced(TaskId task, int attempt, VmId vm, Resources reserved)
+            implements JournalRecord {}
 
     /**
      * An attempt has ended; it holds no resources and will not run again.
@@ -113,6 +118,14 @@
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     record VmForgotten(VmId vm) implements JournalRecord {}
 
+    /**
+     * What the scheduler has learned, as part of a snapshot.
+     *
+     * @param state the learned state
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    record SchedulerLearned(LearnedState state) implements JournalRecord {}
+
     /**
      * Whole state of a job, as part of a snapshot.
      *
--- a/control/src/main/java/org/knapweedbank/control/PartitionController.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionController.java
@@ -73,6 +73,7 @@
         PartitionState state = mContext.state();
         records.forEach(state::apply);
         state.assumeAllStarted();
+        mContext.scheduler().restoreLearnedState(state.learned());
         mContext.scheduler().setFleetComplete(false);
         mFleetCompleteNanos = mContext.nowNanos() + mContext.settings().sessionTtl().toNanos();
         mSessions.inherit();
@@ -242,6 +243,7 @@
             mFleetComplete = true;
             mContext.scheduler().setFleetComplete(true);
         }
+        mAttempts.enqueueDelayed();
         mDrain.drain();
         mSessions.check();
         mJobs.retire();
@@ -250,9 +252,10 @@
     /**
      * State with the effect of all records appended so far.
      *
-     * @return one record for each job and each VM
+     * @return records for each job, each VM and what the scheduler has learned
      */
     public List<JournalRecord> snapshot() {
+        mContext.state().setLearned(mContext.scheduler().learnedState());
         return mContext.state().snapshot();
     }
 }
--- a/control/src/main/java/org/knapweedbank/control/PartitionState.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionState.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
@@ -16,6 +17,7 @@
 import org.knapweedbank.model.JobSpec;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
+import org.knapweedbank.scheduling.LearnedState;
 import org.knapweedbank.scheduling.task.TaskEvent;
 import org.knapweedbank.scheduling.task.TaskLifecycle;
 import org.knapweedbank.scheduling.task.TaskProgress;
@@ -32,6 +34,16 @@
     private final Map<JobId, JobEntry> mJobs = new LinkedHashMap<>();
     private final Map<VmId, String> mWorkers = new LinkedHashMap<>();
     private final Map<VmId, Set<TaskEntry>> mTasksByVm = new LinkedHashMap<>();
+    private LearnedState mLearned = new LearnedState(List.of(), List.of());
+
+    /** What an owner has learned about task classes, as of the last snapshot. */
+    LearnedState learned() {
+        return mLearned;
+    }
+
+    void setLearned(LearnedState learned) {
+        mLearned = learned;
+    }
 
     /** Address of the worker of a VM, or empty. */
     String workerAddress(VmId vm) {
@@ -66,17 +78,13 @@
             case JournalRecord.JobCancelled cancelled -> cancel(cancelled);
             case JournalRecord.JobRetired retired -> mJobs.remove(retired.job());
             case JournalRecord.TaskPlaced placed ->
-                    withTask(
-                            placed.task(),
-                            task ->
-                                    change(
-                                            task,
-                                            new TaskEvent.Place(placed.attempt(), placed.vm())));
+                    withTask(placed.task(), task -> place(task, placed));
             case JournalRecord.TaskEnded ended -> withTask(ended.task(), task -> end(task, ended));
             case JournalRecord.TaskReplaced replaced ->
                     withTask(replaced.task(), task -> replace(task, replaced.successor()));
             case JournalRecord.VmRegistered vm -> mWorkers.put(vm.vm(), vm.workerAddress());
             case JournalRecord.VmForgotten vm -> mWorkers.remove(vm.vm());
+            case JournalRecord.SchedulerLearned learned -> mLearned = learned.state();
             case JournalRecord.JobSnapshot snapshot -> restore(snapshot);
         }
     }
@@ -94,13 +102,17 @@
         };
     }
 
-    /** One record for each job and VM, from which {@link #apply} restores the state. */
+    /**
+     * Records for each job, each VM and the learned state, from which {@link #apply} restores the
+     * state.
+     */
     List<JournalRecord> snapshot() {
         Stream<JournalRecord> jobs = mJobs.values().stream().map(PartitionState::snapshot);
         Stream<JournalRecord> vms =
                 mWorkers.entrySet().stream()
                         .map(vm -> new JournalRecord.VmRegistered(vm.getKey(), vm.getValue()));
-        return Stream.concat(jobs, vms).toList();
+        Stream<JournalRecord> learned = Stream.of(new JournalRecord.SchedulerLearned(mLearned));
+        return Stream.of(jobs, vms, learned).flatMap(Function.identity()).toList();
     }
 
     private static JournalRecord snapshot(JobEntry job) {
@@ -135,6 +147,7 @@
                 progress.attempt(),
                 progress.failures(),
                 vmOf(task),
+                task.reserved(),
                 progress.checkpoint(),
                 task.detail());
     }
@@ -221,6 +234,11 @@
         }
     }
 
+    private void place(TaskEntry task, JournalRecord.TaskPlaced record) {
+        task.setReserved(record.reserved());
+        change(task, new TaskEvent.Place(record.attempt(), record.vm()));
+    }
+
     private void end(TaskEntry task, JournalRecord.TaskEnded record) {
         assumeStarted(task);
         if (record.end() != AttemptEnd.FINISHED && record.end() != AttemptEnd.CHECKPOINTED) {
@@ -255,6 +273,7 @@
                 new TaskEntry(
                         new TaskId(job.id(), snapshot.index()), job, restore(snapshot, progress));
         task.setDetail(snapshot.detail());
+        task.setReserved(snapshot.reserved());
         job.add(task);
         index(task);
     }
--- a/control/src/main/java/org/knapweedbank/control/SessionControl.java
+++ b/control/src/main/java/org/knapweedbank/control/SessionControl.java
@@ -102,8 +102,7 @@
     }
 
     private void adopt(TaskEntry task, VmId vm) {
-        Resources reserved = task.job().spec().resources();
-        mContext.scheduler().adopt(task.pending(mContext.nowNanos()), vm, reserved);
+        mContext.scheduler().adopt(task.pending(mContext.nowNanos()), vm, task.reserved());
     }
 
     void closed(AgentSession connection) {
@@ -295,6 +294,7 @@
     private void report(VmSession session, TaskEntry task, TaskReport report) {
         if (!report.state().ended()) {
             task.apply(progressEvent(report));
+            task.clearRefusals();
             acknowledge(session, report);
             return;
         }
@@ -302,6 +302,9 @@
                 mAttempts.ended(task, AttemptEnd.valueOf(report.state().name()), report.detail());
         TaskEvent event = PartitionState.event(record, task.job().spec());
         if (TaskTransitions.apply(task.state(), event) instanceof TransitionResult.Next) {
+            if (report.state() == TaskReportState.NOT_STARTED) {
+                task.countRefusal();
+            }
             mAttempts.end(task, record, () -> acknowledge(session, report));
         } else {
             acknowledge(session, report);
--- a/control/src/main/java/org/knapweedbank/control/TaskEntry.java
+++ b/control/src/main/java/org/knapweedbank/control/TaskEntry.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.control;
 
+import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
 import org.knapweedbank.scheduling.PendingTask;
@@ -13,16 +14,19 @@
     private final TaskId mId;
     private final JobEntry mJob;
     private TaskLifecycle mState;
+    private Resources mReserved;
     private String mDetail = "";
     private TaskId mSuccessor;
     private boolean mPlacementCommitted;
     private AgentSession mStartedOn;
+    private int mRefusals;
     private long mCommandNanos;
 
     TaskEntry(TaskId id, JobEntry job, TaskLifecycle state) {
         mId = id;
         mJob = job;
         mState = state;
+        mReserved = job.spec().resources();
     }
 
     /** Applies an event if it has an effect, and returns the result of the transition. */
@@ -59,6 +63,15 @@
         };
     }
 
+    /** Resources that the present attempt reserves on its VM. */
+    Resources reserved() {
+        return mReserved;
+    }
+
+    void setReserved(Resources reserved) {
+        mReserved = reserved;
+    }
+
     boolean isPending() {
         return mState instanceof TaskLifecycle.Admitted;
     }
@@ -113,6 +126,19 @@
         mStartedOn = connection;
     }
 
+    /** Number of starts in a row that agents have refused. */
+    int refusals() {
+        return mRefusals;
+    }
+
+    void countRefusal() {
+        mRefusals++;
+    }
+
+    void clearRefusals() {
+        mRefusals = 0;
+    }
+
     /** Monotonic time of the last command sent about the present attempt. */
     long commandNanos() {
         return mCommandNanos;
--- a/control/src/main/java/org/knapweedbank/control/TaskStarter.java
+++ b/control/src/main/java/org/knapweedbank/control/TaskStarter.java
@@ -56,7 +56,7 @@
         int attempt = task.attempt();
         boolean taken =
                 mContext.append(
-                        new JournalRecord.TaskPlaced(id, attempt, place.vm()),
+                        new JournalRecord.TaskPlaced(id, attempt, place.vm(), place.reserved()),
                         () -> placementCommitted(task, attempt));
         if (taken) {
             task.setCommandNanos(mContext.nowNanos());
@@ -134,7 +134,7 @@
                         mContext.epoch(),
                         task.id(),
                         task.attempt(),
-                        spec.resources(),
+                        task.reserved(),
                         task.job().isService(),
                         spec.command(),
                         task.state().progress().checkpoint(),
--- a/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
+++ b/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
@@ -254,6 +254,21 @@
         assertThat(mFixture.controller().summaries().getFirst().state()).isEqualTo("cancelled");
     }
 
+    /** Guards against a start that is refused for good and tried without pause. */
+    @Test
+    void delaysAttemptsThatAreRefusedAgainAndAgain() {
+        StartTask start = startOneTask();
+        for (int second = 0; second < 60; second++) {
+            StartTask last = mFixture.agent("vm1").last(StartTask.class);
+            mFixture.report("vm1", last, TaskReportState.NOT_STARTED, "program is not known");
+            mFixture.journal().commitAll();
+            mFixture.pass(Duration.ofSeconds(1), "vm1");
+        }
+        assertThat(mFixture.starts("job/0").size()).isAtMost(8);
+        assertThat(mFixture.controller().explain(start.task().job()).orElseThrow())
+                .contains("program is not known");
+    }
+
     /** Guards against a repeated submission that runs the work twice. */
     @Test
     void repeatedSubmissionHasNoEffect() {
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
@@ -417,20 +417,12 @@
         return actions;
     }
 
-    /**
-     * What has been learned about task classes, for the snapshot of the partition.
-     *
-     * @return the learned state
-     */
+    @Override
     public LearnedState learnedState() {
         return new LearnedState(mEstimates.snapshot(), mPenalties.snapshot());
     }
 
-    /**
-     * Takes over what an earlier owner of the partition has learned.
-     *
-     * @param state the learned state
-     */
+    @Override
     public void restoreLearnedState(LearnedState state) {
         mEstimates.restore(state.usage());
         mPenalties.restore(state.penalties());
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/TaskScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/TaskScheduler.java
@@ -138,6 +138,20 @@
      */
     List<InterferenceAction> controlInterference();
 
+    /**
+     * What has been learned about task classes, for the snapshot of the partition.
+     *
+     * @return the learned state
+     */
+    LearnedState learnedState();
+
+    /**
+     * Takes over what an earlier owner of the partition has learned.
+     *
+     * @param state the learned state
+     */
+    void restoreLearnedState(LearnedState state);
+
     /**
      * Explains why a job waits.
      *
