--- a/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
+++ b/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
@@ -114,7 +114,12 @@
             }
             case TaskList list -> mControl.received(agent, list);
             case TaskReport report -> mControl.received(agent, report);
+<<<<<<< HEAD
             case Goodbye goodbye -> agent.close(goodbye.reason());
+=======
+            case Goodbye goodbye ->
+                    LOG.debug("[entry] agent {}: {}", agent.agent(), goodbye.reason());
+>>>>>>> entry
             default -> {
                 LOG.warn("[entry] agent {} sent an unexpected {}", agent.agent(), name(message));
                 agent.close("unexpected message");
@@ -128,6 +133,9 @@
             case StatusQuery query -> mMembership.query(connection, query);
             case ConfigPush push -> mMembership.offered(push);
             case OperatorCall call -> operatorCall(connection, call);
+            case Goodbye goodbye ->
+                    LOG.debug(
+                            "[entry] entry {}: {}", connection.hello().daemon(), goodbye.reason());
             default -> {
                 LOG.warn(
                         "[entry] entry {} sent an unexpected {}",
--- a/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
@@ -230,18 +230,24 @@
     }
 
     /**
-     * Number of upstreams that can take work.
+     * Tells whether an upstream may get new work.
      *
      * @param service the service
-     * @return the count
+     * @param upstream the upstream
+     * @return false if it is leaving, removed, ejected, not known, or its agent is not connected
+     */
+    public boolean available(String service, UpstreamId upstream) {
+        return service(service).selector().available(upstream);
+    }
+
+    /**
+     * Tells whether an upstream can be selected.
+     *
+     * @param key the upstream
+     * @return true if its data connection is open and it takes new work
      */
-    public int available(String service) {
-        UpstreamSelector selector = service(service).selector();
-        return (int)
-                mRecords.keySet().stream()
-                        .filter(key -> key.service().equals(service))
-                        .filter(key -> selector.available(key.id()))
-                        .count();
+    public boolean available(UpstreamKey key) {
+        return mRecords.containsKey(key) && service(key.service()).selector().available(key.id());
     }
 
     /** Closes all connections. */
