Bring the latency of services to the interference control

Cause: agents always reported a p99 of 0, so the control had no input in the running path. A wire test failed under load because its server read the queue empty. Change: the agent measures each service over ten seconds and sends p99 with the usage samples; the owner uses it for service tasks whose class is the service's name. The wire test pauses its server, as its comment says. Conclusion: interference control acts on what agents measure.

--- a/agent/src/main/java/org/knapweedbank/agent/AgentDaemon.java
+++ b/agent/src/main/java/org/knapweedbank/agent/AgentDaemon.java
@@ -89,7 +89,7 @@
                         clock,
                         mDuty::execute,
                         report -> session().report(report));
-        mUsage = new UsageFeed(worker, clock, mDuty::execute);
+        mUsage = new UsageFeed(worker, clock, mDuty::execute, new ServiceLatencies(registry));
         mFrameClient = new FrameClient(vertx, FrameTimeouts.DEFAULT, registry);
         mSession =
                 new SessionDuty(
--- a/agent/src/main/java/org/knapweedbank/agent/RequestDuty.java
+++ b/agent/src/main/java/org/knapweedbank/agent/RequestDuty.java
@@ -53,6 +53,7 @@
     private final DuplicateTable<RecordedAnswer> mDuplicates;
     private final DuplicateLimits mLimits;
     private final RequestCounters mCounters;
+    private final ServiceLatencies mLatencies;
     private final StallMeter mStall;
     private final Map<String, ActiveRequest> mActive = new HashMap<>();
     private boolean mConfigured;
@@ -70,6 +71,7 @@
         mLimits = limits;
         mDuplicates = new DuplicateTable<>(limits, clock);
         mCounters = new RequestCounters(registry);
+        mLatencies = new ServiceLatencies(registry);
         mStall = new StallMeter(clock);
     }
 
@@ -502,7 +504,9 @@
             if (mRequest.isStream()) {
                 slots.streamEnded();
             } else {
-                slots.finished(Duration.ofNanos(mClock.monotonicNanos() - mRequest.startedNanos()));
+                Duration time = Duration.ofNanos(mClock.monotonicNanos() - mRequest.startedNanos());
+                slots.finished(time);
+                mLatencies.record(mRequest.request().service(), time);
             }
         }
 
--- /dev/null
+++ b/agent/src/main/java/org/knapweedbank/agent/ServiceLatencies.java
@@ -0,0 +1,48 @@
+package org.knapweedbank.agent;
+
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.MetricFilter;
+import com.codahale.metrics.MetricRegistry;
+import com.codahale.metrics.SlidingTimeWindowArrayReservoir;
+import com.codahale.metrics.Snapshot;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.knapweedbank.wire.ServiceLatency;
+
+/** Latency of the services beside the agent over the last seconds. Thread-safe. */
+final class ServiceLatencies {
+    private static final String PREFIX = "agent.latency.";
+    private static final long WINDOW_SECONDS = 10;
+
+    private final MetricRegistry mRegistry;
+
+    ServiceLatencies(MetricRegistry registry) {
+        mRegistry = registry;
+    }
+
+    void record(String service, Duration latency) {
+        mRegistry
+                .histogram(PREFIX + service, ServiceLatencies::histogram)
+                .update(latency.toNanos() / 1_000);
+    }
+
+    private static Histogram histogram() {
+        return new Histogram(new SlidingTimeWindowArrayReservoir(WINDOW_SECONDS, TimeUnit.SECONDS));
+    }
+
+    /** One figure for each service that answered requests within the window. */
+    List<ServiceLatency> read() {
+        return mRegistry.getHistograms(MetricFilter.startsWith(PREFIX)).entrySet().stream()
+                .map(entry -> latency(entry.getKey(), entry.getValue().getSnapshot()))
+                .filter(latency -> latency.samples() > 0)
+                .toList();
+    }
+
+    private static ServiceLatency latency(String name, Snapshot snapshot) {
+        return new ServiceLatency(
+                name.substring(PREFIX.length()),
+                (long) snapshot.get99thPercentile(),
+                snapshot.size());
+    }
+}
--- a/agent/src/main/java/org/knapweedbank/agent/SessionDuty.java
+++ b/agent/src/main/java/org/knapweedbank/agent/SessionDuty.java
@@ -212,7 +212,8 @@
                         mLedger.digest(),
                         mConfig.generation(),
                         mUpstreams.take(seq),
-                        mUsage.take()));
+                        mUsage.take(),
+                        mUsage.takeLatencies()));
     }
 
     /** Sends a report; returns false while there is no session. */
--- a/agent/src/main/java/org/knapweedbank/agent/UsageFeed.java
+++ b/agent/src/main/java/org/knapweedbank/agent/UsageFeed.java
@@ -1,8 +1,10 @@
 package org.knapweedbank.agent;
 
+import com.codahale.metrics.MetricRegistry;
 import java.time.Duration;
 import java.util.List;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.wire.ServiceLatency;
 import org.knapweedbank.wire.UsageSample;
 import org.knapweedbank.worker.TaskUsage;
 import org.knapweedbank.worker.Worker;
@@ -19,10 +21,17 @@
     private final Clock mClock;
     private final WorkerCalls mCalls;
     private final PendingCall mCall;
+    private final ServiceLatencies mLatencies;
+    private boolean mFresh;
     private List<TaskUsage> mSamples = List.of();
     private long mReceivedNanos;
 
     UsageFeed(Worker worker, Clock clock, DutyExecutor executor) {
+        this(worker, clock, executor, new ServiceLatencies(new MetricRegistry()));
+    }
+
+    UsageFeed(Worker worker, Clock clock, DutyExecutor executor, ServiceLatencies latencies) {
+        mLatencies = latencies;
         mWorker = worker;
         mClock = clock;
         mCalls = new WorkerCalls(executor);
@@ -43,11 +52,21 @@
                                     instanceof
                                     WorkerResult.Succeeded<List<TaskUsage>>(var samples)) {
                         mSamples = samples;
+                        mFresh = true;
                         mReceivedNanos = mClock.monotonicNanos();
                     }
                 });
     }
 
+    /** The latencies of the services, once for each reading of the usage. */
+    List<ServiceLatency> takeLatencies() {
+        if (!mFresh) {
+            return List.of();
+        }
+        mFresh = false;
+        return mLatencies.read();
+    }
+
     /** The samples that no heartbeat has carried yet. */
     List<UsageSample> take() {
         long heldMillis = (mClock.monotonicNanos() - mReceivedNanos) / 1_000_000;
--- a/control/src/main/java/org/knapweedbank/control/SessionControl.java
+++ b/control/src/main/java/org/knapweedbank/control/SessionControl.java
@@ -138,28 +138,37 @@
                     .send(new HeartbeatAck(heartbeat.seq(), mContext.epoch(), generation));
         }
         mContext.scheduler().setSchedulable(session.vm(), true);
-        heartbeat.usage().forEach(sample -> observe(session.vm(), sample, now));
+        session.setLatencies(heartbeat.latencies());
+        heartbeat.usage().forEach(sample -> observe(session, sample, now));
         checkDigest(session, now);
     }
 
-    private void observe(VmId vm, UsageSample sample, long now) {
+    private void observe(VmSession session, UsageSample sample, long now) {
+        VmId vm = session.vm();
         mContext.state()
                 .task(sample.task())
                 .filter(task -> vm.equals(task.vm()) && task.attempt() == sample.attempt())
-                .map(task -> observation(task, vm, sample, now))
+                .map(task -> observation(task, session, sample, now))
                 .ifPresent(mContext.scheduler()::recordUsage);
     }
 
-    private UsageObservation observation(TaskEntry task, VmId vm, UsageSample sample, long now) {
+    private UsageObservation observation(
+            TaskEntry task, VmSession session, UsageSample sample, long now) {
         return new UsageObservation(
                 sample.task(),
-                vm,
+                session.vm(),
                 sample.used(),
-                sample.p99Micros(),
+                p99Micros(task, session, sample),
                 objectiveMicros(task),
                 now - sample.ageMillis() * 1_000_000);
     }
 
+    /** A service whose task class is its name is measured by the agent of the VM. */
+    private static long p99Micros(TaskEntry task, VmSession session, UsageSample sample) {
+        boolean measured = sample.p99Micros() > 0 || !task.job().isService();
+        return measured ? sample.p99Micros() : session.latencyMicros(task.job().spec().taskClass());
+    }
+
     private long objectiveMicros(TaskEntry task) {
         return mContext.configuration()
                 .service(task.job().spec().taskClass())
--- a/control/src/main/java/org/knapweedbank/control/VmSession.java
+++ b/control/src/main/java/org/knapweedbank/control/VmSession.java
@@ -1,11 +1,15 @@
 package org.knapweedbank.control;
 
 import java.time.Duration;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.VmId;
 import org.knapweedbank.scheduling.VmDescription;
 import org.knapweedbank.wire.Heartbeat;
+import org.knapweedbank.wire.ServiceLatency;
 
 /**
  * Session of one worker VM as its partition's owner sees it. The owner assumes the end of all
@@ -27,6 +31,7 @@
     private long mListRequestedNanos;
     private boolean mListRequested;
     private boolean mDigestDiffers;
+    private final Map<String, Long> mLatencies = new HashMap<>();
     private boolean mWorkerAsked;
     private int mWorkerFailures;
 
@@ -133,6 +138,18 @@
         mDigestDiffers = differs;
     }
 
+    void setLatencies(List<ServiceLatency> latencies) {
+        if (!latencies.isEmpty()) {
+            mLatencies.clear();
+            latencies.forEach(latency -> mLatencies.put(latency.service(), latency.p99Micros()));
+        }
+    }
+
+    /** Last p99 latency of a service on the VM in microseconds, or 0. */
+    long latencyMicros(String service) {
+        return mLatencies.getOrDefault(service, 0L);
+    }
+
     /** True while an answer of the VM's worker is waited for. */
     boolean isWorkerAsked() {
         return mWorkerAsked;
--- a/control/src/test/java/org/knapweedbank/control/ControlFixture.java
+++ b/control/src/test/java/org/knapweedbank/control/ControlFixture.java
@@ -23,12 +23,14 @@
 import org.knapweedbank.scheduling.SchedulerSettings;
 import org.knapweedbank.time.ManualClock;
 import org.knapweedbank.wire.Heartbeat;
+import org.knapweedbank.wire.ServiceLatency;
 import org.knapweedbank.wire.SessionOpen;
 import org.knapweedbank.wire.StartTask;
 import org.knapweedbank.wire.TaskDigest;
 import org.knapweedbank.wire.TaskHeld;
 import org.knapweedbank.wire.TaskReport;
 import org.knapweedbank.wire.TaskReportState;
+import org.knapweedbank.wire.UsageSample;
 
 /** A controller with a manual clock, a fake journal and fake agents. */
 final class ControlFixture {
@@ -154,6 +156,17 @@
                 new VmId(vm), new Heartbeat(seq, mEpoch, digest, 1, List.of(), List.of()));
     }
 
+    /** A heartbeat with the usage of a service task and the latency of its service. */
+    void heartbeatWithLatency(String vm, StartTask service, long p99Micros) {
+        long seq = mSequences.merge(vm, 1L, Long::sum);
+        UsageSample usage =
+                new UsageSample(service.task(), service.attempt(), service.resources(), 0, 0);
+        ServiceLatency latency = new ServiceLatency("web", p99Micros, 100);
+        mController.heartbeat(
+                new VmId(vm),
+                new Heartbeat(seq, mEpoch, 0, 1, List.of(), List.of(usage), List.of(latency)));
+    }
+
     /** Lets time pass in steps of a second, with heartbeats of the VMs named. */
     void pass(Duration duration, String... alive) {
         for (long second = 0; second < duration.toSeconds(); second++) {
--- a/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
+++ b/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
@@ -15,6 +15,7 @@
 import org.knapweedbank.wire.StartTask;
 import org.knapweedbank.wire.StopTask;
 import org.knapweedbank.wire.TaskReportState;
+import org.knapweedbank.wire.ThrottleTask;
 import org.knapweedbank.worker.TaskState;
 import org.knapweedbank.worker.TaskStatus;
 
@@ -269,6 +270,23 @@
                 .contains("program is not known");
     }
 
+    /** Guards against latency that the agent measures and that never reaches the control. */
+    @Test
+    void throttlesBatchBesideASlowService() {
+        mFixture.submit(ControlFixture.job("web", JobKind.SERVICE, 1));
+        StartTask service = mFixture.agent("vm1").last(StartTask.class);
+        mFixture.report("vm1", service, TaskReportState.RUNNING);
+        mFixture.submit(ControlFixture.job("batch", JobKind.BATCH, 1));
+        mFixture.report(
+                "vm1", mFixture.agent("vm1").last(StartTask.class), TaskReportState.RUNNING);
+        for (int second = 0; second < 60; second++) {
+            mFixture.pass(Duration.ofSeconds(1));
+            mFixture.heartbeatWithLatency("vm1", service, 500_000);
+            mFixture.controller().controlInterference();
+        }
+        assertThat(mFixture.agent("vm1").sent(ThrottleTask.class)).isNotEmpty();
+    }
+
     /** Guards against a repeated submission that runs the work twice. */
     @Test
     void repeatedSubmissionHasNoEffect() {
--- a/wire/src/test/java/org/knapweedbank/wire/FrameConnectionTest.java
+++ b/wire/src/test/java/org/knapweedbank/wire/FrameConnectionTest.java
@@ -136,7 +136,7 @@
         int port = listen(FrameTimeouts.DEFAULT);
         FrameConnection client =
                 client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
-        take(mAccepted);
+        take(mAccepted).pause();
         ResponseChunk chunk = new ResponseChunk(1, 0, new byte[512 * 1024]);
         List<Boolean> sent = new ArrayList<>();
         while (sent.size() < 1000 && !sent.contains(false)) {
