--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,11 +6,21 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.scheduling.PlacementLatency;
+import org.knapweedbank.bench.scheduling.PlacementQuality;
+import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.UrgentStart;
 import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
 public final class BenchmarkRunner {
-    private static final List<Benchmark> BENCHMARKS = List.of(new JournalLoadBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(
+                    new PlacementThroughput(),
+                    new PlacementLatency(),
+                    new PlacementQuality(),
+                    new UrgentStart(),
+                    new JournalLoadBenchmark());
 
     private BenchmarkRunner() {}
 
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
@@ -2,22 +2,28 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.apache.commons.rng.UniformRandomProvider;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.JobKind;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.TaskId;
 import org.knapweedbank.model.VmId;
+import org.knapweedbank.scheduling.interference.InterferenceControl;
+import org.knapweedbank.scheduling.interference.PairPenalties;
 import org.knapweedbank.scheduling.placement.CapacityLedger;
 import org.knapweedbank.scheduling.placement.LedgerTask;
-import org.knapweedbank.scheduling.placement.PairCosts;
 import org.knapweedbank.scheduling.placement.UsageEstimates;
 import org.knapweedbank.scheduling.placement.VmSelector;
 import org.knapweedbank.scheduling.placement.VmSlot;
+import org.knapweedbank.scheduling.quarantine.QuarantineTracker;
 import org.knapweedbank.scheduling.quota.PendingQueues;
 import org.knapweedbank.scheduling.quota.Reservation;
 import org.knapweedbank.scheduling.quota.ShapeQueue;
@@ -32,6 +38,18 @@
     /** VMs on which victims are chosen for one urgent task; bounds the work that is interrupted. */
     private static final int MAX_PREEMPTION_ROUNDS = 2;
 
+    /** Shapes that may be found to wait in one call; bounds its time after a wave of jobs. */
+    private static final int MAX_FAILURES = 4_000;
+
+    /** Urgent shapes without victims that are tried again in each call. */
+    private static final int MAX_URGENT_RETRIES = 64;
+
+    /** Interval in which all waiting tasks are reconsidered after a change of estimates. */
+    private static final long RECONSIDER_INTERVAL_NANOS = 5_000_000_000L;
+
+    /** Room of a VM that takes no tasks. */
+    private static final Resources NO_ROOM = new Resources(-1, -1, -1);
+
     private final SchedulerSettings mSettings;
     private final Clock mClock;
     private final CapacityLedger mLedger;
@@ -39,13 +57,23 @@
     private final VmSelector mSelector;
     private final VictimSelector mVictims;
     private final UsageEstimates mEstimates = new UsageEstimates();
+    private final InterferenceControl mInterference;
+    private final QuarantineTracker mQuarantine;
     private final WaitExplainer mExplainer;
     private final Map<TaskId, Reservation> mReservations = new LinkedHashMap<>();
 
     /** Tasks queued again before the end of their earlier attempt was reported. */
     private final Map<TaskId, PendingTask> mDeferred = new HashMap<>();
 
+    /** VMs that have gained capacity which blocked tasks may use. */
+    private final Set<VmSlot> mGrown = new LinkedHashSet<>();
+
+    /** Amounts for which no VM has had room since the last gain of a VM on which they fit. */
+    private final Set<Resources> mNoRoom = new HashSet<>();
+
     private boolean mFleetComplete = true;
+    private boolean mEstimatesChanged;
+    private long mReconsideredNanos;
 
     /**
      * Creates a scheduler without VMs and tasks.
@@ -58,12 +86,14 @@
             SchedulerSettings settings, Clock clock, UniformRandomProvider random) {
         mSettings = settings;
         mClock = clock;
-        PairCosts costs = PairCosts.NONE;
+        PairPenalties costs = new PairPenalties(clock);
+        mInterference = new InterferenceControl(clock, costs);
+        mQuarantine = new QuarantineTracker(clock, random);
         mLedger =
                 new CapacityLedger(
                         clock, costs, settings.capacityMemory().toNanos(), this::noteGrowth);
         mQueues = new PendingQueues(clock, settings.shareMode());
-        mSelector = new VmSelector(mLedger, costs, (job, slot) -> false);
+        mSelector = new VmSelector(mLedger, costs, this::failedOn);
         mVictims = new VictimSelector(mLedger, team -> mQueues.team(team).overQuota(), clock);
         mExplainer = new WaitExplainer(mLedger, mQueues);
     }
@@ -71,11 +101,14 @@
     @Override
     public void putVm(VmDescription vm) {
         mLedger.putVm(vm);
+        mLedger.setQuarantined(vm.id(), !mQuarantine.takesTasks(vm.id()));
         mQueues.setTotal(mLedger.catalog().total());
     }
 
     @Override
     public void removeVm(VmId vm) {
+        mQuarantine.forget(vm);
+        mInterference.forget(vm);
         mLedger.removeVm(vm);
         mQueues.setTotal(mLedger.catalog().total());
     }
@@ -93,7 +126,7 @@
     @Override
     public void setFleetComplete(boolean complete) {
         mFleetComplete = complete;
-        mQueues.unblock(need -> true);
+        mQueues.unblockAll();
     }
 
     @Override
@@ -153,7 +186,8 @@
     private void noteGrowth(VmSlot slot) {
         if (slot.placeable()) {
             Resources available = slot.available();
-            mQueues.unblock(need -> need.fitsIn(available));
+            mGrown.add(slot);
+            mNoRoom.removeIf(need -> need.fitsIn(available));
             mReservations.values().forEach(reservation -> reservation.noteGrowth(slot));
         }
     }
@@ -161,20 +195,64 @@
     @Override
     public List<SchedulingDecision> schedule(int limit) {
         List<SchedulingDecision> decisions = new ArrayList<>();
-        mQueues.unblockUrgent();
+        mQuarantine.advance().forEach(this::applyVerdict);
         serveReservations(decisions, limit);
-        ShapeQueue shape = decisions.size() < limit ? mQueues.next() : null;
-        while (shape != null) {
-            decide(shape, decisions);
-            shape = decisions.size() < limit ? mQueues.next() : null;
+        reconsiderAfterEstimates();
+        mQueues.unblockUrgent(MAX_URGENT_RETRIES);
+        useGrowth();
+        int failures = 0;
+        while (decisions.size() < limit && failures < MAX_FAILURES) {
+            ShapeQueue shape = mQueues.next();
+            if (shape == null && !useGrowth()) {
+                break;
+            }
+            if (shape != null && !decide(shape, decisions)) {
+                failures++;
+            }
         }
         return decisions;
     }
 
-    private void decide(ShapeQueue shape, List<SchedulingDecision> decisions) {
+    private void reconsiderAfterEstimates() {
+        long now = mClock.monotonicNanos();
+        if (mEstimatesChanged && now - mReconsideredNanos >= RECONSIDER_INTERVAL_NANOS) {
+            mEstimatesChanged = false;
+            mReconsideredNanos = now;
+            mQueues.unblockAll();
+        }
+    }
+
+    /** Unblocks tasks for which VMs have gained room; returns false if there are none. */
+    private boolean useGrowth() {
+        if (mGrown.isEmpty()) {
+            return false;
+        }
+        Iterator<VmSlot> slots = mGrown.iterator();
+        return mQueues.unblockFor(
+                new Iterator<>() {
+                    @Override
+                    public boolean hasNext() {
+                        return slots.hasNext();
+                    }
+
+                    @Override
+                    public Resources next() {
+                        VmSlot slot = slots.next();
+                        return slot.placeable() ? slot.available() : NO_ROOM;
+                    }
+
+                    @Override
+                    public void remove() {
+                        slots.remove();
+                    }
+                });
+    }
+
+    /** Decides about the first task of a shape; returns false if the shape must wait. */
+    private boolean decide(ShapeQueue shape, List<SchedulingDecision> decisions) {
         PendingTask task = shape.head();
         Resources need = need(task);
-        VmSlot slot = mSelector.select(task, need);
+        VmSlot slot = mNoRoom.contains(need) ? null : mSelector.select(task, need);
         if (slot != null) {
             mQueues.remove(task.id());
             place(task, slot, need, decisions);
@@ -182,8 +260,11 @@
             mQueues.remove(task.id());
             decisions.add(new SchedulingDecision.NeverFits(task, mExplainer.neverFits(task)));
         } else if (!shape.urgent() || !preempt(task, need, null, 1, decisions)) {
+            mNoRoom.add(need);
             mQueues.block(shape, need);
+            return false;
         }
+        return true;
     }
 
     /** Corrected resources; the declared ones if the correction exceeds every VM. */
@@ -201,6 +282,9 @@
     private void place(
             PendingTask task, VmSlot slot, Resources need, List<SchedulingDecision> decisions) {
         hold(task, slot.id(), need);
+        if (mQuarantine.notePlacement(slot.id())) {
+            applyVerdict(slot.id());
+        }
         decisions.add(new SchedulingDecision.Place(task, slot.id(), need));
     }
 
@@ -280,11 +364,27 @@
         mLedger.withdrawPromise(reservation.slot(), reservation.need());
     }
 
+    private void applyVerdict(VmId vm) {
+        mLedger.setQuarantined(vm, !mQuarantine.takesTasks(vm));
+    }
+
+    private boolean failedOn(JobId job, VmSlot slot) {
+        return mQuarantine.failedOn(job, slot.id());
+    }
+
     @Override
-    public void recordSuccess(TaskId task, VmId vm) {}
+    public void recordSuccess(TaskId task, VmId vm) {
+        mQuarantine.recordSuccess(task.job(), vm);
+        applyVerdict(vm);
+    }
 
     @Override
-    public void recordFailure(TaskId task, VmId vm) {}
+    public void recordFailure(TaskId task, VmId vm) {
+        List<VmId> suspects = mQuarantine.suspects();
+        mQuarantine.recordFailure(task.job(), vm, mLedger.slots().size());
+        suspects.forEach(this::applyVerdict);
+        applyVerdict(vm);
+    }
 
     @Override
     public void recordUsage(UsageObservation sample) {
@@ -293,14 +393,24 @@
             return;
         }
         PendingTask task = held.task();
-        if (mEstimates.record(task.taskClass(), task.resources(), sample.used())) {
-            mQueues.unblock(need -> true);
+        if (task.kind() == JobKind.SERVICE && sample.objectiveMicros() > 0) {
+            mInterference.accept(held, sample);
+        }
+        if (!mInterference.throttled(held)
+                && mEstimates.record(task.taskClass(), task.resources(), sample.used())) {
+            mEstimatesChanged = true;
         }
     }
 
     @Override
     public List<InterferenceAction> controlInterference() {
-        return List.of();
+        List<InterferenceAction> actions = mInterference.decide();
+        for (InterferenceAction action : actions) {
+            if (action instanceof InterferenceAction.Evict evict) {
+                mLedger.markEnding(mLedger.find(evict.task()));
+            }
+        }
+        return actions;
     }
 
     @Override
