--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,9 +6,14 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.agent.AgentFootprint;
+import org.knapweedbank.bench.capacity.OwnerCapacity;
+import org.knapweedbank.bench.routing.RoutingPolicyBenchmark;
+import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.QuotaFairness;
 import org.knapweedbank.bench.scheduling.UrgentStart;
 import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
@@ -20,7 +25,12 @@
                     new PlacementLatency(),
                     new PlacementQuality(),
                     new UrgentStart(),
-                    new JournalLoadBenchmark());
+                    new OwnerCapacity(),
+                    new AgentFootprint(),
+                    new JournalLoadBenchmark(),
+                    new QuotaFairness(),
+                    new InterferenceBenchmark(),
+                    new RoutingPolicyBenchmark());
 
     private BenchmarkRunner() {}
 
