--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -6,11 +6,33 @@
 import java.io.PrintStream;
 import java.io.UncheckedIOException;
 import java.util.List;
+import org.knapweedbank.bench.agent.AgentFootprint;
+import org.knapweedbank.bench.capacity.OwnerCapacity;
+import org.knapweedbank.bench.routing.RoutingOverheadBenchmark;
 import org.knapweedbank.bench.routing.RoutingPolicyBenchmark;
+import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
+import org.knapweedbank.bench.scheduling.PlacementLatency;
+import org.knapweedbank.bench.scheduling.PlacementQuality;
+import org.knapweedbank.bench.scheduling.PlacementThroughput;
+import org.knapweedbank.bench.scheduling.QuotaFairness;
+import org.knapweedbank.bench.scheduling.UrgentStart;
+import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
 /** Runs the benchmarks named on the command line and prints one JSON object a line. */
 public final class BenchmarkRunner {
-    private static final List<Benchmark> BENCHMARKS = List.of(new RoutingPolicyBenchmark());
+    private static final List<Benchmark> BENCHMARKS =
+            List.of(
+                    new PlacementThroughput(),
+                    new PlacementLatency(),
+                    new PlacementQuality(),
+                    new UrgentStart(),
+                    new OwnerCapacity(),
+                    new AgentFootprint(),
+                    new JournalLoadBenchmark(),
+                    new QuotaFairness(),
+                    new InterferenceBenchmark(),
+                    new RoutingPolicyBenchmark(),
+                    new RoutingOverheadBenchmark());
 
     private BenchmarkRunner() {}
 
@@ -35,6 +57,8 @@
         for (Benchmark benchmark : selected) {
             benchmark.run(figure -> print(mapper, figure, System.out));
         }
+        // Scheduler threads of the libraries would keep the process alive.
+        System.exit(0);
     }
 
     private static boolean matches(Benchmark benchmark, String[] names) {
--- a/daemon/src/main/java/org/knapweedbank/daemon/EmbeddedRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EmbeddedRole.java
@@ -16,6 +16,7 @@
 import org.apache.logging.log4j.Logger;
 import org.knapweedbank.agent.AgentSettings;
 import org.knapweedbank.config.ChangeRequest;
+import org.knapweedbank.control.ControlSettings;
 import org.knapweedbank.entry.CallerLimits;
 import org.knapweedbank.entry.ListenAddress;
 import org.knapweedbank.entry.operator.OperatorKeys;
@@ -79,6 +80,7 @@
                         mKeyFile,
                         List.of(),
                         CallerLimits.DEFAULT,
+                        ControlSettings.defaults(),
                         Duration.ZERO,
                         Duration.ofSeconds(10));
         mEntry =
--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -10,7 +10,6 @@
 import org.apache.commons.rng.simple.RandomSource;
 import org.knapweedbank.config.ConfigurationStore;
 import org.knapweedbank.config.StoreConfigurationSource;
-import org.knapweedbank.control.ControlSettings;
 import org.knapweedbank.control.EntryIdentity;
 import org.knapweedbank.control.PartitionHost;
 import org.knapweedbank.entry.EntryDaemon;
@@ -95,7 +94,7 @@
         long incarnation = clock.wallTime().toEpochMilli();
         mConfigurations = new ConfigurationStore(store, clock, mId + "-" + incarnation);
         mLease = lease(settings, incarnation);
-        mPartitions = partitions(settings, registry);
+        mPartitions = partitions(settings, vertx, registry);
         EntryParts parts =
                 new EntryParts(
                         mSource,
@@ -155,6 +154,7 @@
         if (now - mConfirmNanos >= CONFIRM_NANOS) {
             mConfirmNanos = now;
             mView.confirm();
+            mClaims.shareWith(mView.list(EntryRegistration.PREFIX).size());
             mSource.refresh();
         }
     }
@@ -203,9 +203,10 @@
                 new NoAction());
     }
 
-    private PartitionHost partitions(DaemonSettings.Entry settings, MetricRegistry registry) {
+    private PartitionHost partitions(
+            DaemonSettings.Entry settings, Vertx vertx, MetricRegistry registry) {
         return new PartitionHost(
-                ControlSettings.defaults(),
+                settings.control(),
                 new EntryIdentity(
                         mId, address(settings.host(), settings.frames()), settings.dataCentre()),
                 mClock,
@@ -218,6 +219,7 @@
                                 SchedulerSettings.defaults(),
                                 mClock,
                                 RandomSource.XO_RO_SHI_RO_128_PP.create()),
+                new HttpWorkerLists(vertx),
                 mLease::leaseId,
                 registry);
     }
--- a/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
+++ b/entry/src/main/java/org/knapweedbank/entry/membership/FrameListener.java
@@ -114,8 +114,7 @@
             }
             case TaskList list -> mControl.received(agent, list);
             case TaskReport report -> mControl.received(agent, report);
-            case Goodbye goodbye ->
-                    LOG.debug("[entry] agent {}: {}", agent.agent(), goodbye.reason());
+            case Goodbye goodbye -> agent.close(goodbye.reason());
             default -> {
                 LOG.warn("[entry] agent {} sent an unexpected {}", agent.agent(), name(message));
                 agent.close("unexpected message");
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -6,9 +6,11 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -40,7 +42,6 @@
 import org.knapweedbank.entry.upstream.UpstreamKey;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
-import org.knapweedbank.routing.UpstreamId;
 import org.knapweedbank.store.claim.Claim;
 import org.knapweedbank.store.claim.ClaimRequest;
 import org.knapweedbank.store.claim.ClaimResult;
@@ -425,14 +426,20 @@
     /** Adds an upstream and waits until its data connection is open. */
     private void add(FakeAgent agent) throws Exception {
         UpstreamRecord record = agent.record(false, 1);
-        UpstreamId id = UpstreamKey.of(record).id();
-        AtomicBoolean available = new AtomicBoolean();
         onLoop(() -> mRouting.put(record));
-        while (!available.get()) {
-            onLoop(() -> available.set(mRouting.available("echo", id)));
+        long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
+        while (!available(UpstreamKey.of(record))) {
+            assertThat(System.nanoTime() - deadline).isLessThan(0L);
+            Thread.onSpinWait();
         }
     }
 
+    private boolean available(UpstreamKey key) throws Exception {
+        AtomicBoolean available = new AtomicBoolean();
+        onLoop(() -> available.set(mRouting.available(key)));
+        return available.get();
+    }
+
     private void onLoop(Runnable action) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         mContext.runOnContext(
@@ -456,15 +463,23 @@
                         .setMethod(HttpMethod.valueOf(method))
                         .setURI(path);
         List<String> lines = headers == null ? List.of() : List.of(headers.split("\n"));
-        return mClient.request(options)
-                .compose(
-                        request -> {
-                            for (String line : lines) {
-                                String[] field = line.split(": ", 2);
-                                request.headers().add(field[0], field[1]);
-                            }
-                            return request.send(Buffer.buffer(body));
-                        })
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        // On an event loop, as the body of an answer is lost when its handler is set too late.
+        mVertx.runOnContext(
+                ignored ->
+                        mClient.request(options)
+                                .compose(request -> send(request, lines, body))
+                                .onSuccess(answer::complete)
+                                .onFailure(answer::completeExceptionally));
+        return answer;
+    }
+
+    private static Future<Answer> send(HttpClientRequest request, List<String> lines, String body) {
+        for (String line : lines) {
+            String[] field = line.split(": ", 2);
+            request.headers().add(field[0], field[1]);
+        }
+        return request.send(Buffer.buffer(body))
                 .compose(
                         response ->
                                 response.body()
@@ -473,9 +488,7 @@
                                                         new Answer(
                                                                 response.statusCode(),
                                                                 text.toString(),
-                                                                response)))
-                .toCompletionStage()
-                .toCompletableFuture();
+                                                                response)));
     }
 
     private static <T> T next(FakeAgent agent, Class<T> type) throws Exception {
