--- a/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
+++ b/entry/src/main/java/org/knapweedbank/entry/upstream/RoutingState.java
@@ -230,13 +230,14 @@
     }
 
     /**
-     * Tells whether an upstream can be selected.
+     * Tells whether an upstream may get new work.
      *
-     * @param key the upstream
-     * @return true if its data connection is open and it takes new work
+     * @param service the service
+     * @param upstream the upstream
+     * @return false if it is leaving, removed, ejected, not known, or its agent is not connected
      */
-    public boolean available(UpstreamKey key) {
-        return mRecords.containsKey(key) && service(key.service()).selector().available(key.id());
+    public boolean available(String service, UpstreamId upstream) {
+        return service(service).selector().available(upstream);
     }
 
     /** Closes all connections. */
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -42,6 +42,7 @@
 import org.knapweedbank.entry.upstream.UpstreamKey;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.routing.UpstreamId;
 import org.knapweedbank.store.claim.Claim;
 import org.knapweedbank.store.claim.ClaimRequest;
 import org.knapweedbank.store.claim.ClaimResult;
@@ -426,20 +427,16 @@
     /** Adds an upstream and waits until its data connection is open. */
     private void add(FakeAgent agent) throws Exception {
         UpstreamRecord record = agent.record(false, 1);
+        UpstreamId id = UpstreamKey.of(record).id();
+        AtomicBoolean available = new AtomicBoolean();
         onLoop(() -> mRouting.put(record));
         long deadline = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_SECONDS);
-        while (!available(UpstreamKey.of(record))) {
+        while (!available.get()) {
             assertThat(System.nanoTime() - deadline).isLessThan(0L);
-            Thread.onSpinWait();
+            onLoop(() -> available.set(mRouting.available("echo", id)));
         }
     }
 
-    private boolean available(UpstreamKey key) throws Exception {
-        AtomicBoolean available = new AtomicBoolean();
-        onLoop(() -> available.set(mRouting.available(key)));
-        return available.get();
-    }
-
     private void onLoop(Runnable action) throws Exception {
         CompletableFuture<Void> done = new CompletableFuture<>();
         mContext.runOnContext(
--- a/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
+++ b/scheduling/src/main/java/org/knapweedbank/scheduling/PartitionScheduler.java
@@ -57,6 +57,7 @@
     private final VmSelector mSelector;
     private final VictimSelector mVictims;
     private final UsageEstimates mEstimates = new UsageEstimates();
+    private final PairPenalties mPenalties;
     private final InterferenceControl mInterference;
     private final QuarantineTracker mQuarantine;
     private final WaitExplainer mExplainer;
@@ -86,7 +87,8 @@
             SchedulerSettings settings, Clock clock, UniformRandomProvider random) {
         mSettings = settings;
         mClock = clock;
-        PairPenalties costs = new PairPenalties(clock);
+        mPenalties = new PairPenalties(clock);
+        PairPenalties costs = mPenalties;
         mInterference = new InterferenceControl(clock, costs);
         mQuarantine = new QuarantineTracker(clock, random);
         mLedger =
@@ -126,7 +128,7 @@
     @Override
     public void setFleetComplete(boolean complete) {
         mFleetComplete = complete;
-        mQueues.unblockAll();
+        mQueues.unblockIf((task, need) -> !mayFit(need));
     }
 
     @Override
@@ -197,7 +199,7 @@
         List<SchedulingDecision> decisions = new ArrayList<>();
         mQuarantine.advance().forEach(this::applyVerdict);
         serveReservations(decisions, limit);
-        reconsiderAfterEstimates();
+        reconsider();
         mQueues.unblockUrgent(MAX_URGENT_RETRIES);
         useGrowth();
         int failures = 0;
@@ -213,12 +215,14 @@
         return decisions;
     }
 
-    private void reconsiderAfterEstimates() {
+    /** Unblocks tasks whose corrected need has changed or for which no VM is left. */
+    private void reconsider() {
         long now = mClock.monotonicNanos();
-        if (mEstimatesChanged && now - mReconsideredNanos >= RECONSIDER_INTERVAL_NANOS) {
+        boolean due = mEstimatesChanged && now - mReconsideredNanos >= RECONSIDER_INTERVAL_NANOS;
+        if (mLedger.catalog().forgetOld(now) || due) {
             mEstimatesChanged = false;
             mReconsideredNanos = now;
-            mQueues.unblockAll();
+            mQueues.unblockIf((task, need) -> !need(task).equals(need) || !mayFit(need));
         }
     }
 
@@ -276,7 +280,7 @@
     }
 
     private boolean mayFit(Resources need) {
-        return mLedger.catalog().mayFit(need, mClock.monotonicNanos());
+        return mLedger.catalog().mayFit(need);
     }
 
     private void place(
@@ -413,6 +417,18 @@
         return actions;
     }
 
+    @Override
+    public LearnedState learnedState() {
+        return new LearnedState(mEstimates.snapshot(), mPenalties.snapshot());
+    }
+
+    @Override
+    public void restoreLearnedState(LearnedState state) {
+        mEstimates.restore(state.usage());
+        mPenalties.restore(state.penalties());
+        mEstimatesChanged = true;
+    }
+
     @Override
     public String explain(JobId job) {
         List<String> sentences = new ArrayList<>();
