--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -7,6 +7,7 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import org.knapweedbank.bench.agent.AgentFootprint;
+import org.knapweedbank.bench.capacity.MembershipCapacity;
 import org.knapweedbank.bench.capacity.OwnerCapacity;
 import org.knapweedbank.bench.routing.RoutingOverheadBenchmark;
 import org.knapweedbank.bench.routing.RoutingPolicyBenchmark;
@@ -27,6 +28,7 @@
                     new PlacementQuality(),
                     new UrgentStart(),
                     new OwnerCapacity(),
+                    new MembershipCapacity(),
                     new AgentFootprint(),
                     new JournalLoadBenchmark(),
                     new QuotaFairness(),
--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/capacity/MembershipCapacity.java
@@ -0,0 +1,92 @@
+package org.knapweedbank.bench.capacity;
+
+import java.lang.management.ManagementFactory;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.knapweedbank.bench.Benchmark;
+import org.knapweedbank.bench.BenchmarkReport;
+import org.knapweedbank.bench.Figure;
+import org.knapweedbank.entry.membership.UpstreamTable;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.wire.FrameCodec;
+import org.knapweedbank.wire.FrameException;
+import org.knapweedbank.wire.UpstreamDelta;
+import org.knapweedbank.wire.UpstreamRecord;
+import org.knapweedbank.wire.UpstreamState;
+
+/** Heap, bytes and processor time of the records of upstreams that every entry holds. */
+public final class MembershipCapacity implements Benchmark {
+    private static final int[] SIZES = {500, 1_000, 1_900, 4_000};
+    private static final int PARTITIONS = 8;
+    private static final int ROUNDS = 20;
+
+    @Override
+    public String name() {
+        return "capacity.membership";
+    }
+
+    @Override
+    public void run(BenchmarkReport report) throws FrameException {
+        for (int round = 0; round < ROUNDS; round++) {
+            measure(SIZES[0], figure -> {});
+        }
+        for (int size : SIZES) {
+            measure(size, report);
+        }
+    }
+
+    private static void measure(int upstreams, BenchmarkReport report) throws FrameException {
+        String input = upstreams + " upstreams, " + PARTITIONS + " partitions";
+        FrameCodec codec = new FrameCodec();
+        long before = usedHeap();
+        UpstreamTable table = new UpstreamTable(new ManualClock());
+        long bytes = 0;
+        long cpu = cpuNanos();
+        for (int partition = 0; partition < PARTITIONS; partition++) {
+            UpstreamDelta delta = snapshot(partition, upstreams / PARTITIONS, 1);
+            bytes += codec.encode(delta, FrameCodec.MAX_VERSION).length();
+            table.apply(delta);
+        }
+        double micros = (cpuNanos() - cpu) / 1e3 / upstreams;
+        double heap = (usedHeap() - before) / (double) upstreams;
+        report.add(figure("heap.record", heap, "bytes", input));
+        report.add(figure("bytes.record", bytes / (double) upstreams, "bytes", input));
+        report.add(figure("encode.apply", micros, "us a record", input));
+        report.add(figure("records", table.size(), "records", input));
+    }
+
+    private static UpstreamDelta snapshot(int partition, int count, long seq) {
+        List<UpstreamRecord> records =
+                IntStream.range(0, count).mapToObj(i -> record(partition, i, seq)).toList();
+        return new UpstreamDelta(partition, 1, true, records);
+    }
+
+    private static UpstreamRecord record(int partition, int index, long seq) {
+        String vm = "vm-" + partition + "-" + index;
+        UpstreamState state =
+                new UpstreamState(
+                        "service-" + index % 20, "10.1.2.3:8080", 8, 64, false, false, seq);
+        return new UpstreamRecord(
+                new DaemonId("agent-" + vm),
+                1_796_000_000_000L,
+                new DataCentreId("dc-" + index % 5),
+                "10.1." + partition + "." + index % 250 + ":7000",
+                state);
+    }
+
+    private static Figure figure(String name, double value, String unit, String input) {
+        return new Figure("capacity.membership." + name, value, unit, null, null, input);
+    }
+
+    private static long cpuNanos() {
+        return ManagementFactory.getThreadMXBean().getCurrentThreadCpuTime();
+    }
+
+    private static long usedHeap() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+}
--- a/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
+++ b/daemon/src/main/java/org/knapweedbank/daemon/EntryRole.java
@@ -48,6 +48,11 @@
     private static final Duration STORE_STEP = Duration.ofMillis(5);
 
     private static final int STORE_RING = 1_024;
+    private static final int CONFIG_RING = 256;
+
+    /** The configuration duty has no periodic work. */
+    private static final Duration IDLE_STEP = Duration.ofSeconds(1);
+
     private static final long CONFIRM_NANOS = Duration.ofSeconds(1).toNanos();
     private static final Duration PARTITIONS_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration RELEASE_TIMEOUT = Duration.ofSeconds(2);
@@ -64,8 +69,10 @@
     private final OperatorKeys mKeys;
     private final String mId;
     private final DutyThread mStoreThread;
+    private final DutyThread mConfigThread;
     private final Set<DrivenJournal> mJournals = ConcurrentHashMap.newKeySet();
     private long mConfirmNanos;
+    private OperatorRoutes mRoutes;
 
     /**
      * Creates the role.
@@ -89,7 +96,8 @@
         mKeys = keys;
         mId = settings.daemon().value();
         mView = new StorePrefixView(store, WATCHED_PREFIX, clock);
-        mSource = new StoreConfigurationSource(mView, store);
+        mConfigThread = new DutyThread("config", CONFIG_RING, () -> {}, IDLE_STEP);
+        mSource = new StoreConfigurationSource(mView, store, mConfigThread::execute);
         mClaims = new ClaimStore(store, clock, ClaimSettings.standard());
         long incarnation = clock.wallTime().toEpochMilli();
         mConfigurations = new ConfigurationStore(store, clock, mId + "-" + incarnation);
@@ -110,6 +118,7 @@
     @Override
     public Uni<Void> start() {
         mView.start();
+        mConfigThread.start();
         mSource.start();
         mStoreThread.start();
         mPartitions.start();
@@ -132,9 +141,11 @@
                 .chain(this::releaseLease)
                 .invoke(
                         () -> {
+                            mRoutes.close();
                             mClaims.close();
                             mView.close();
                             mStoreThread.close();
+                            mConfigThread.close();
                         });
     }
 
@@ -180,6 +191,7 @@
                                 forwarder,
                                 directory,
                                 mClock));
+        mRoutes = routes;
         routes.mount(router);
         return routes::handle;
     }
