--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -7,7 +7,9 @@
 import java.io.UncheckedIOException;
 import java.util.List;
 import org.knapweedbank.bench.agent.AgentFootprint;
+import org.knapweedbank.bench.capacity.MembershipCapacity;
 import org.knapweedbank.bench.capacity.OwnerCapacity;
+import org.knapweedbank.bench.routing.RoutingOverheadBenchmark;
 import org.knapweedbank.bench.routing.RoutingPolicyBenchmark;
 import org.knapweedbank.bench.scheduling.InterferenceBenchmark;
 import org.knapweedbank.bench.scheduling.PlacementLatency;
@@ -26,11 +28,13 @@
                     new PlacementQuality(),
                     new UrgentStart(),
                     new OwnerCapacity(),
+                    new MembershipCapacity(),
                     new AgentFootprint(),
                     new JournalLoadBenchmark(),
                     new QuotaFairness(),
                     new InterferenceBenchmark(),
-                    new RoutingPolicyBenchmark());
+                    new RoutingPolicyBenchmark(),
+                    new RoutingOverheadBenchmark());
 
     private BenchmarkRunner() {}
 
@@ -55,6 +59,8 @@
         for (Benchmark benchmark : selected) {
             benchmark.run(figure -> print(mapper, figure, System.out));
         }
+        // Scheduler threads of the libraries would keep the process alive.
+        System.exit(0);
     }
 
     private static boolean matches(Benchmark benchmark, String[] names) {
--- a/control/src/main/java/org/knapweedbank/control/SessionControl.java
+++ b/control/src/main/java/org/knapweedbank/control/SessionControl.java
@@ -102,8 +102,7 @@
     }
 
     private void adopt(TaskEntry task, VmId vm) {
-        Resources reserved = task.job().spec().resources();
-        mContext.scheduler().adopt(task.pending(mContext.nowNanos()), vm, reserved);
+        mContext.scheduler().adopt(task.pending(mContext.nowNanos()), vm, task.reserved());
     }
 
     void closed(AgentSession connection) {
@@ -139,28 +138,37 @@
                     .send(new HeartbeatAck(heartbeat.seq(), mContext.epoch(), generation));
         }
         mContext.scheduler().setSchedulable(session.vm(), true);
-        heartbeat.usage().forEach(sample -> observe(session.vm(), sample, now));
+        session.setLatencies(heartbeat.latencies());
+        heartbeat.usage().forEach(sample -> observe(session, sample, now));
         checkDigest(session, now);
     }
 
-    private void observe(VmId vm, UsageSample sample, long now) {
+    private void observe(VmSession session, UsageSample sample, long now) {
+        VmId vm = session.vm();
         mContext.state()
                 .task(sample.task())
                 .filter(task -> vm.equals(task.vm()) && task.attempt() == sample.attempt())
-                .map(task -> observation(task, vm, sample, now))
+                .map(task -> observation(task, session, sample, now))
                 .ifPresent(mContext.scheduler()::recordUsage);
     }
 
-    private UsageObservation observation(TaskEntry task, VmId vm, UsageSample sample, long now) {
+    private UsageObservation observation(
+            TaskEntry task, VmSession session, UsageSample sample, long now) {
         return new UsageObservation(
                 sample.task(),
-                vm,
+                session.vm(),
                 sample.used(),
-                sample.p99Micros(),
+                p99Micros(task, session, sample),
                 objectiveMicros(task),
                 now - sample.ageMillis() * 1_000_000);
     }
 
+    /** A service whose task class is its name is measured by the agent of the VM. */
+    private static long p99Micros(TaskEntry task, VmSession session, UsageSample sample) {
+        boolean measured = sample.p99Micros() > 0 || !task.job().isService();
+        return measured ? sample.p99Micros() : session.latencyMicros(task.job().spec().taskClass());
+    }
+
     private long objectiveMicros(TaskEntry task) {
         return mContext.configuration()
                 .service(task.job().spec().taskClass())
@@ -295,6 +303,7 @@
     private void report(VmSession session, TaskEntry task, TaskReport report) {
         if (!report.state().ended()) {
             task.apply(progressEvent(report));
+            task.clearRefusals();
             acknowledge(session, report);
             return;
         }
@@ -302,6 +311,9 @@
                 mAttempts.ended(task, AttemptEnd.valueOf(report.state().name()), report.detail());
         TaskEvent event = PartitionState.event(record, task.job().spec());
         if (TaskTransitions.apply(task.state(), event) instanceof TransitionResult.Next) {
+            if (report.state() == TaskReportState.NOT_STARTED) {
+                task.countRefusal();
+            }
             mAttempts.end(task, record, () -> acknowledge(session, report));
         } else {
             acknowledge(session, report);
--- a/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
+++ b/entry/src/test/java/org/knapweedbank/entry/http/CallerListenerTest.java
@@ -6,9 +6,11 @@
 import com.codahale.metrics.MetricRegistry;
 import io.smallrye.mutiny.Uni;
 import io.vertx.core.Context;
+import io.vertx.core.Future;
 import io.vertx.core.Vertx;
 import io.vertx.core.buffer.Buffer;
 import io.vertx.core.http.HttpClient;
+import io.vertx.core.http.HttpClientRequest;
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import io.vertx.core.http.RequestOptions;
@@ -458,15 +460,23 @@
                         .setMethod(HttpMethod.valueOf(method))
                         .setURI(path);
         List<String> lines = headers == null ? List.of() : List.of(headers.split("\n"));
-        return mClient.request(options)
-                .compose(
-                        request -> {
-                            for (String line : lines) {
-                                String[] field = line.split(": ", 2);
-                                request.headers().add(field[0], field[1]);
-                            }
-                            return request.send(Buffer.buffer(body));
-                        })
+        CompletableFuture<Answer> answer = new CompletableFuture<>();
+        // On an event loop, as the body of an answer is lost when its handler is set too late.
+        mVertx.runOnContext(
+                ignored ->
+                        mClient.request(options)
+                                .compose(request -> send(request, lines, body))
+                                .onSuccess(answer::complete)
+                                .onFailure(answer::completeExceptionally));
+        return answer;
+    }
+
+    private static Future<Answer> send(HttpClientRequest request, List<String> lines, String body) {
+        for (String line : lines) {
+            String[] field = line.split(": ", 2);
+            request.headers().add(field[0], field[1]);
+        }
+        return request.send(Buffer.buffer(body))
                 .compose(
                         response ->
                                 response.body()
@@ -475,9 +485,7 @@
                                                         new Answer(
                                                                 response.statusCode(),
                                                                 text.toString(),
-                                                                response)))
-                .toCompletionStage()
-                .toCompletableFuture();
+                                                                response)));
     }
 
     private static <T> T next(FakeAgent agent, Class<T> type) throws Exception {
