Repeat operator requests of the quickstart that were not applied

Cause: a job submitted before a partition had its first owner was refused with 503, not applied, and the quickstart gave up. Change: it repeats such requests for up to 10 s.

--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/StandinClient.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/StandinClient.java
@@ -12,6 +12,8 @@
 /** Reads records of stand-ins and calls operator routes over HTTP. */
 final class StandinClient {
     private static final Duration TIMEOUT = Duration.ofSeconds(5);
+    private static final int MAX_REPEATS = 50;
+    private static final long REPEAT_MILLIS = 200;
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final HttpClient mClient =
@@ -24,20 +26,27 @@
         return MAPPER.readTree(send(request(port, path).GET().build()).body());
     }
 
-    /** Calls an operator route; fails when the answer is not a success. */
+    /**
+     * Calls an operator route; fails when the answer is not a success. A refusal as not applied,
+     * for example while a partition has no owner, is repeated for some time.
+     */
     JsonNode operator(String method, int port, String path, String key, Object body)
             throws IOException, InterruptedException {
         HttpRequest.BodyPublisher publisher =
                 body == null
                         ? HttpRequest.BodyPublishers.noBody()
                         : HttpRequest.BodyPublishers.ofString(MAPPER.writeValueAsString(body));
-        HttpResponse<String> response =
-                send(
-                        request(port, path)
-                                .header("Authorization", "Bearer " + key)
-                                .header("Content-Type", "application/json")
-                                .method(method, publisher)
-                                .build());
+        HttpRequest request =
+                request(port, path)
+                        .header("Authorization", "Bearer " + key)
+                        .header("Content-Type", "application/json")
+                        .method(method, publisher)
+                        .build();
+        HttpResponse<String> response = send(request);
+        for (int i = 0; i < MAX_REPEATS && isNotApplied(response); i++) {
+            Thread.sleep(REPEAT_MILLIS);
+            response = send(request);
+        }
         if (response.statusCode() / 100 != 2) {
             throw new IOException(
                     method + " " + path + ": " + response.statusCode() + " " + response.body());
@@ -45,6 +54,10 @@
         return MAPPER.readTree(response.body());
     }
 
+    private static boolean isNotApplied(HttpResponse<String> response) {
+        return response.statusCode() == 503 && response.body().contains("not-applied");
+    }
+
     private HttpRequest.Builder request(int port, String path) {
         return HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + path))
                 .timeout(TIMEOUT);
