--- a/bench/src/main/java/org/knapweedbank/bench/capacity/MembershipCapacity.java
+++ b/bench/src/main/java/org/knapweedbank/bench/capacity/MembershipCapacity.java
@@ -1,15 +1,19 @@
 package org.knapweedbank.bench.capacity;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.lang.management.ManagementFactory;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.knapweedbank.bench.Benchmark;
 import org.knapweedbank.bench.BenchmarkReport;
 import org.knapweedbank.bench.Figure;
+import org.knapweedbank.config.ServiceSettings;
 import org.knapweedbank.entry.membership.UpstreamTable;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.wire.ConfigPush;
 import org.knapweedbank.wire.FrameCodec;
 import org.knapweedbank.wire.FrameException;
 import org.knapweedbank.wire.UpstreamDelta;
@@ -19,6 +23,7 @@
 /** Heap, bytes and processor time of the records of upstreams that every entry holds. */
 public final class MembershipCapacity implements Benchmark {
     private static final int[] SIZES = {500, 1_000, 1_900, 4_000};
+    private static final int[] SERVICES = {10, 20, 60};
     private static final int PARTITIONS = 8;
     private static final int ROUNDS = 20;
 
@@ -35,6 +40,29 @@
         for (int size : SIZES) {
             measure(size, report);
         }
+        for (int services : SERVICES) {
+            measurePush(services, report);
+        }
+    }
+
+    /** Size of the frame that takes a generation to an agent. */
+    private static void measurePush(int services, BenchmarkReport report) throws FrameException {
+        List<ServiceSettings> settings =
+                IntStream.range(0, services)
+                        .mapToObj(
+                                i ->
+                                        new ServiceSettings(
+                                                "service-" + i,
+                                                250,
+                                                10_000,
+                                                256,
+                                                Set.of("GET", "HEAD", "OPTIONS", "PUT", "DELETE"),
+                                                false))
+                        .toList();
+        String document = new ObjectMapper().valueToTree(settings).toString();
+        ConfigPush push = new ConfigPush(1, List.of(), document);
+        int bytes = new FrameCodec().encode(push, FrameCodec.MAX_VERSION).length();
+        report.add(figure("push.bytes", bytes, "bytes", services + " services"));
     }
 
     private static void measure(int upstreams, BenchmarkReport report) throws FrameException {
--- a/control/src/main/java/org/knapweedbank/control/PartitionTakeover.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionTakeover.java
@@ -103,7 +103,7 @@
             boolean taken =
                     owned.contains(partition)
                             || mCalling.contains(partition)
-                            || owner(partition).isPresent();
+                            || isOwnedElsewhere(partition);
             if (taken) {
                 mOwnerlessSince.remove(partition);
             } else if (isDue(configuration, partition)) {
@@ -112,6 +112,16 @@
         }
     }
 
+    /**
+     * An owner key that names this entry, though it does not run the partition, is left from a
+     * release that failed; acquiring it again returns the ownership or waits for the old lease.
+     */
+    private boolean isOwnedElsewhere(int partition) {
+        return owner(partition)
+                .filter(owner -> !owner.ownerId().equals(mIdentity.id()))
+                .isPresent();
+    }
+
     private boolean isDue(SiteConfiguration configuration, int partition) {
         long now = mClock.monotonicNanos();
         long since = mOwnerlessSince.computeIfAbsent(partition, key -> now);
--- a/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
+++ b/control/src/test/java/org/knapweedbank/control/PartitionControllerTest.java
@@ -152,6 +152,18 @@
         assertThat(mFixture.starts("job/0")).hasSize(2);
     }
 
+    /** Guards against tasks of an expired VM that are forgotten while the journal is full. */
+    @Test
+    void endsTheTasksOfAnExpiredVmLaterWhenTheJournalIsFull() {
+        startOneTask();
+        mFixture.journal().setFull(true);
+        expireVm1();
+        assertThat(mFixture.starts("job/0")).hasSize(1);
+        mFixture.journal().setFull(false);
+        mFixture.pass(Duration.ofSeconds(4), "vm2");
+        assertThat(mFixture.starts("job/0")).hasSize(2);
+    }
+
     /** Guards against a start in a data centre that has been taken out. */
     @Test
     void sendsNoStartIntoRemovedDataCentre() {
