--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/DaemonSettingsFiles.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/DaemonSettingsFiles.java
@@ -21,7 +21,7 @@
                   "operatorKeys": "%s",
                   "store": {"endpoints": ["127.0.0.1:%d"]},
                   // Short leases, so that the tasks of a killed agent move within the run.
-                  "control": {"sessionTtlMillis": 5000, "maxStoreSilenceMillis": 5000},
+                  "control": {"sessionTtlMillis": 4000, "maxStoreSilenceMillis": 5000},
                   "drainDelayMillis": 1000
                 }
                 """
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/Deployment.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/Deployment.java
@@ -159,6 +159,11 @@
         mProcesses.put(name, ManagedProcess.start(name, command, mFolder, "is running"));
     }
 
+    /** Starts a daemon that has ended again, with the same settings, as the platform would. */
+    void restart(String name) throws IOException {
+        startDaemon(name, mFolder.resolve(name + ".json"));
+    }
+
     void awaitDaemons() throws IOException, InterruptedException {
         for (ManagedProcess process : mProcesses.values()) {
             process.awaitReady(READY_LIMIT);
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/Quickstart.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/Quickstart.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.LongSummaryStatistics;
 import java.util.Map;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -25,6 +26,9 @@
     private static final long REMOVAL_LIMIT_MILLIS = 3_000;
     private static final int STREAMS = 6;
 
+    /** Reasons of refusals that are shown. */
+    private static final int REASONS = 5;
+
     /** Processor time of a task, in thousandths of a core. */
     private static final int SMALL = 1_000;
 
@@ -89,9 +93,10 @@
         startAll();
         configure();
         startLoad();
-        pause(4_000);
+        pause(3_000);
         removeAndReturnDataCentre();
         killAgent();
+        finishJobs();
         stopOneEntryAndAgent();
         finishJobs();
         stopAll();
@@ -156,11 +161,11 @@
         mOutMillis = System.currentTimeMillis();
         progress("data centre south is out of service");
         mJobs.submit(6, 1_000, SMALL);
-        pause(6_000);
+        pause(4_500);
         mInMillis = System.currentTimeMillis();
         runClient("dc", "in", "south");
         progress("data centre south is back in service");
-        pause(3_000);
+        pause(1_500);
     }
 
     private void runClient(String... arguments) throws IOException, InterruptedException {
@@ -176,18 +181,19 @@
         mKillMillis = System.currentTimeMillis();
         mDeployment.process("agent-south-1").kill();
         progress("agent of VM south-1 killed outright");
-        pause(3_000);
     }
 
     /** A planned stop under load must not cut a request. */
-    private void stopOneEntryAndAgent() throws InterruptedException {
+    private void stopOneEntryAndAgent() throws IOException, InterruptedException {
+        mJobs.submit(4, 1_500, SMALL);
         long begin = System.currentTimeMillis();
         List<String> killed = mDeployment.stop(List.of("agent-north-2"), STOP_LIMIT);
         killed.addAll(mDeployment.stop(List.of("entry-south"), STOP_LIMIT));
         long end = System.currentTimeMillis();
+        mDeployment.restart("agent-north-2");
         pause(500);
         mCutByPlannedStop += killed.size() + cutBetween(begin, end);
-        progress("agent of VM north-2 and entry south stopped gracefully under load");
+        progress("agent of VM north-2 and entry south stopped under load, the agent started again");
     }
 
     private long cutBetween(long begin, long end) {
@@ -199,7 +205,7 @@
     }
 
     private void finishJobs() throws IOException, InterruptedException {
-        boolean all = mJobs.awaitFinished(mStartMillis + 50_000);
+        boolean all = mJobs.awaitFinished(mStartMillis + 52_000);
         progress(
                 all
                         ? "all " + mJobs.submitted() + " jobs have finished"
@@ -241,7 +247,35 @@
         }
     }
 
+    /** Shows why requests were not answered, the most frequent reasons first. */
+    private void explainRefusals() {
+        Map<String, Long> reasons =
+                mRequests.outcomes().stream()
+                        .filter(outcome -> outcome.kind() != CallOutcome.Kind.ANSWERED)
+                        .collect(
+                                Collectors.groupingBy(
+                                        outcome -> outcome.kind() + ", " + outcome.detail(),
+                                        Collectors.counting()));
+        LongSummaryStatistics times =
+                mRequests.outcomes().stream()
+                        .filter(outcome -> outcome.detail().contains("no upstream"))
+                        .collect(Collectors.summarizingLong(CallOutcome::startMillis));
+        if (times.getCount() > 0) {
+            progress(
+                    "no upstream from "
+                            + (times.getMin() - mStartMillis)
+                            + " to "
+                            + (times.getMax() - mStartMillis)
+                            + " ms");
+        }
+        reasons.entrySet().stream()
+                .sorted(Map.Entry.<String, Long>comparingByValue().reversed())
+                .limit(REASONS)
+                .forEach(reason -> progress(reason.getValue() + " x " + reason.getKey()));
+    }
+
     private QuickstartReport report() {
+        explainRefusals();
         Map<CallOutcome.Kind, Long> kinds =
                 mRequests.outcomes().stream()
                         .collect(Collectors.groupingBy(CallOutcome::kind, Collectors.counting()));
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/RequestLoad.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/RequestLoad.java
@@ -203,7 +203,7 @@
                     // An error status of the upstream is its whole answer.
                     default -> CallOutcome.Kind.ANSWERED;
                 };
-        return new Verdict(kind, response.statusCode() + " " + json);
+        return new Verdict(kind, response.statusCode() + " " + json.path("detail").asText());
     }
 
     /** The answer to a repeat is the recorded answer to the first request with the key. */
