--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
@@ -0,0 +1,22 @@
+package org.knapweedbank.jobs.owner;
+
+/** One run of a task on a VM, from its order to its end. */
+final class Attempt {
+    final Task mTask;
+    final Vm mVm;
+    final long mRun;
+    final long mOrderedAt;
+    boolean mConfirmed;
+    boolean mStopping;
+    int mPercent;
+    String mCheckpoint = "";
+    long mProgressAt;
+
+    Attempt(Task task, Vm vm, long run, long now) {
+        mTask = task;
+        mVm = vm;
+        mRun = run;
+        mOrderedAt = now;
+        mProgressAt = now;
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -0,0 +1,239 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.List;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.StartOutcome;
+import org.knapweedbank.jobs.TaskName;
+
+/** Follows the runs of tasks from their order to their end. */
+final class AttemptTracker {
+    /**
+     * Runs that one term may number. A term starts above all numbers of earlier terms, so that runs
+     * rise over takeovers without being stored.
+     */
+    private static final long RUNS_PER_TERM = 1L << 20;
+
+    /** Pause before a task that failed is started again, doubled with each failure. */
+    private static final long RETRY_PAUSE_MILLIS = 50;
+
+    private static final long LONGEST_RETRY_PAUSE_MILLIS = 800;
+
+    /** Pause of a VM that refused a start for want of room or because it is unhealthy. */
+    private static final long REFUSAL_PAUSE_MILLIS = 250;
+
+    private final OwnerState mState;
+
+    AttemptTracker(OwnerState state) {
+        mState = state;
+    }
+
+    /** Orders the next run of a task on a VM. */
+    void start(Task task, Vm vm) {
+        long run = Math.max(task.mLastRun, (mState.mTerm - 1) * RUNS_PER_TERM) + 1;
+        Attempt attempt = begin(task, vm, run);
+        mState.mLog.record("task.order", task.mName, "run", run, "vm", vm.mAgent.value());
+        mState.mOutput.start(vm.mAgent, order(task, attempt));
+    }
+
+    /** Takes over a run that a worker lists and that this owner did not order. */
+    Attempt adopt(Task task, Vm vm, long run) {
+        Attempt attempt = begin(task, vm, run);
+        mState.mLog.record("task.adopt", task.mName, "run", run, "vm", vm.mAgent.value());
+        return attempt;
+    }
+
+    void outcome(Vm vm, TaskName name, long run, StartOutcome outcome) {
+        Task task = mState.task(name);
+        Attempt attempt = task == null ? null : task.mAttempt;
+        if (attempt == null || attempt.mVm != vm || attempt.mRun != run) {
+            return;
+        }
+        switch (outcome) {
+            case STARTED -> confirm(attempt);
+            case REFUSED -> {
+                vm.mPausedUntil = mState.now() + REFUSAL_PAUSE_MILLIS;
+                release(attempt);
+            }
+            case NOT_STARTED, NOT_PERMITTED -> release(attempt);
+        }
+        if (outcome != StartOutcome.STARTED) {
+            mState.mLog.record("task.not_started", name, "run", run, "outcome", outcome);
+        }
+    }
+
+    void confirm(Attempt attempt) {
+        attempt.mConfirmed = true;
+        attempt.mTask.mStep.mJob.mStarted = true;
+    }
+
+    /** Ends an attempt without an end listed by the worker; the task waits again. */
+    void release(Attempt attempt) {
+        Task task = attempt.mTask;
+        attempt.mVm.remove(attempt);
+        if (task.mAttempt == attempt) {
+            task.mAttempt = null;
+            if (!task.mDone) {
+                task.mStep.mWaiting++;
+            }
+        }
+    }
+
+    /** Ends the attempts of a VM whose worker no longer exists or whose lease has run out. */
+    void lost(Vm vm, String reason) {
+        List.copyOf(vm.mAttempts.values())
+                .forEach(
+                        attempt -> {
+                            Task task = attempt.mTask;
+                            mState.mLog.record(
+                                    "task.lost",
+                                    task.mName,
+                                    "run",
+                                    attempt.mRun,
+                                    "vm",
+                                    vm.mAgent.value(),
+                                    "reason",
+                                    reason);
+                            keepCheckpoint(task, attempt.mCheckpoint);
+                            release(attempt);
+                        });
+        vm.mForeign.clear();
+    }
+
+    /** Orders the end of an attempt; its room stays taken until the end is listed. */
+    void stop(Attempt attempt, String reason) {
+        if (!attempt.mStopping) {
+            attempt.mStopping = true;
+            mState.mLog.record(
+                    "task.stop", attempt.mTask.mName, "run", attempt.mRun, "reason", reason);
+        }
+        mState.mOutput.stop(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun);
+    }
+
+    /** Takes note of an end; it is acknowledged once the change that it causes is stored. */
+    void ended(Vm vm, EndedTask end) {
+        if (end.number() <= vm.mLastEnd) {
+            return;
+        }
+        vm.mLastEnd = end.number();
+        vm.mForeign.remove(end.task());
+        Task task = mState.task(end.task());
+        if (task == null) {
+            mState.mLog.record("task.end_unknown", end.task(), "vm", vm.mAgent.value());
+            vm.awaitStored(end.number(), null);
+            return;
+        }
+        Job job = task.mStep.mJob;
+        long before = job.version();
+        job.mStarted = true;
+        Attempt attempt = task.mAttempt;
+        if (attempt != null && attempt.mVm == vm && attempt.mRun <= end.run()) {
+            release(attempt);
+        }
+        mState.mLog.record(
+                "task.end",
+                task.mName,
+                "run",
+                end.run(),
+                "how",
+                end.how(),
+                "vm",
+                vm.mAgent.value());
+        if (!job.finished() || end.how() == EndKind.DONE) {
+            apply(vm, task, end);
+        }
+        vm.awaitStored(end.number(), job.version() == before ? null : job);
+    }
+
+    private void apply(Vm vm, Task task, EndedTask end) {
+        switch (end.how()) {
+            case DONE -> done(vm, task);
+            case FAILED -> failed(vm, task, end);
+            case STOPPED, LAPSED, BROKEN, ALONE -> {}
+        }
+        keepCheckpoint(task, end.checkpoint());
+    }
+
+    private void done(Vm vm, Task task) {
+        vm.mHealth.succeeded();
+        Step step = task.mStep;
+        if (step.mSpec.traits().longRunning() || task.mDone) {
+            return;
+        }
+        task.mDone = true;
+        step.mDone++;
+        if (task.mAttempt == null) {
+            step.mWaiting--;
+        } else {
+            stop(task.mAttempt, "task is done");
+        }
+        Job job = step.mJob;
+        if (!job.finished() && job.complete()) {
+            job.finish(mState.now());
+            mState.mLog.record("job.completed", job.id().value());
+        } else {
+            job.changed();
+        }
+    }
+
+    private void failed(Vm vm, Task task, EndedTask end) {
+        Job job = task.mStep.mJob;
+        if (end.run() <= task.mLastFailedRun || task.mDone) {
+            return;
+        }
+        task.mLastFailedRun = end.run();
+        task.mFailures++;
+        task.mFailedOn.add(vm.mAgent);
+        long pause = RETRY_PAUSE_MILLIS << Math.min(task.mFailures, 5);
+        task.mNotBefore = mState.now() + Math.min(LONGEST_RETRY_PAUSE_MILLIS, pause);
+        if (vm.mHealth.failed(job.id(), mState.now())) {
+            mState.mLog.record("vm.suspended", vm.mAgent.value(), "cause", "failures in a row");
+        }
+        if (task.mStep.mSpec.traits().longRunning()) {
+            return;
+        }
+        if (task.mFailures >= job.queue().maxAttempts()) {
+            job.mFailed = true;
+            job.finish(mState.now());
+            mState.mLog.record(
+                    "job.failed", job.id().value(), "task", task.mName, "tries", task.mFailures);
+            stopAll(job, "job has failed");
+        } else {
+            job.changed();
+        }
+    }
+
+    void stopAll(Job job, String reason) {
+        job.tasks().filter(t -> t.mAttempt != null).forEach(t -> stop(t.mAttempt, reason));
+    }
+
+    private void keepCheckpoint(Task task, String checkpoint) {
+        if (!checkpoint.isEmpty() && !task.mDone && !checkpoint.equals(task.mCheckpoint)) {
+            task.mCheckpoint = checkpoint;
+            task.mStep.mJob.changed();
+        }
+    }
+
+    private Attempt begin(Task task, Vm vm, long run) {
+        Attempt attempt = new Attempt(task, vm, run, mState.now());
+        task.mLastRun = Math.max(run, task.mLastRun);
+        task.mAttempt = attempt;
+        if (!task.mDone) {
+            task.mStep.mWaiting--;
+        }
+        vm.add(attempt);
+        return attempt;
+    }
+
+    private static StartOrder order(Task task, Attempt attempt) {
+        var spec = task.mStep.mSpec;
+        return new StartOrder(
+                task.mName,
+                attempt.mRun,
+                task.mStep.mJob.submission().spec(),
+                task.mCheckpoint,
+                spec.traits().filler(),
+                spec.latencyObjective());
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Occurrence.java
@@ -0,0 +1,22 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One run of all steps of a job. */
+final class Occurrence {
+    final int mNumber;
+    final List<Step> mSteps;
+
+    Occurrence(Job job, int number) {
+        mNumber = number;
+        mSteps = new ArrayList<>(job.submission().steps().size());
+        for (int i = 0; i < job.submission().steps().size(); i++) {
+            mSteps.add(new Step(job, this, i, job.submission().steps().get(i)));
+        }
+    }
+
+    boolean complete() {
+        return mSteps.stream().allMatch(Step::complete);
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -0,0 +1,34 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.model.DaemonId;
+
+/** State of one task. */
+final class Task {
+    final TaskName mName;
+    final Step mStep;
+    boolean mDone;
+    int mFailures;
+    long mLastFailedRun;
+    String mCheckpoint = "";
+
+    /** Number of the newest run that this owner ordered or has seen. */
+    long mLastRun;
+
+    /** Time before which the task is not started again, after an end that was not its last. */
+    long mNotBefore;
+
+    Attempt mAttempt;
+    final Set<DaemonId> mFailedOn = new HashSet<>(2);
+
+    Task(TaskName name, Step step) {
+        mName = name;
+        mStep = step;
+    }
+
+    boolean waiting() {
+        return !mDone && mAttempt == null;
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -0,0 +1,90 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/** Starts what is due and has room, the most urgent queue first. */
+final class TaskPlacer {
+    /**
+     * Age of the last answer to an agent above which a start order would reach it with an outdated
+     * permit.
+     */
+    private static final long ANSWER_AGE_MILLIS = 1_500;
+
+    private static final Comparator<Job> ORDER =
+            Comparator.<Job>comparingInt(job -> job.queue().priority())
+                    .thenComparing(Job::accepted);
+
+    private final OwnerState mState;
+    private final AttemptTracker mAttempts;
+    private final VmTracker mVms;
+
+    TaskPlacer(OwnerState state, AttemptTracker attempts, VmTracker vms) {
+        mState = state;
+        mAttempts = attempts;
+        mVms = vms;
+    }
+
+    void place() {
+        if (!mayStart()) {
+            return;
+        }
+        boolean unresolved = mVms.unresolved();
+        mState.mJobs.values().stream()
+                .filter(job -> job.stored() && !job.finished())
+                .filter(job -> !(job.mInherited && unresolved))
+                .sorted(ORDER)
+                .forEach(this::placeJob);
+    }
+
+    /** Tells whether the owner's knowledge is fresh enough to start anything. */
+    private boolean mayStart() {
+        long age = mState.now() - mState.mViewAt;
+        return mState.confirmed() && age <= mState.mSettings.viewAge().toMillis();
+    }
+
+    private void placeJob(Job job) {
+        List<Vm> vms = mState.mVms.values().stream().filter(vm -> accepts(vm, job)).toList();
+        if (vms.isEmpty()) {
+            return;
+        }
+        job.mOccurrences.stream()
+                .filter(o -> due(job, o))
+                .flatMap(o -> o.mSteps.stream())
+                .filter(step -> step.mWaiting > 0 && step.ready())
+                .forEach(step -> placeStep(step, vms));
+    }
+
+    private boolean due(Job job, Occurrence occurrence) {
+        var timetable = job.submission().timetable();
+        return !timetable.timed()
+                || !mState.mClock.wallTime().isBefore(timetable.due(occurrence.mNumber));
+    }
+
+    private boolean accepts(Vm vm, Job job) {
+        return vm.mConnected
+                && vm.mWorker != null
+                && vm.mRegistered
+                && !vm.mWorker.draining()
+                && vm.mForeign.isEmpty()
+                && vm.mWorker.service().equals(job.queue().service())
+                && !mState.mEvacuated.contains(vm.mDataCentre)
+                && mState.now() - vm.mAnsweredAt <= ANSWER_AGE_MILLIS
+                && mState.now() >= vm.mPausedUntil
+                && !vm.mHealth.suspended(mState.now());
+    }
+
+    private void placeStep(Step step, List<Vm> vms) {
+        for (Task task : step.mTasks) {
+            if (!task.waiting() || mState.now() < task.mNotBefore) {
+                continue;
+            }
+            Optional<Vm> vm = VmSelector.select(task, vms);
+            if (vm.isEmpty()) {
+                return;
+            }
+            mAttempts.start(task, vm.get());
+        }
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -0,0 +1,119 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.Resources;
+
+/** The owner's view of one VM: its worker, what runs there, and what has been acknowledged. */
+final class Vm {
+    final DaemonId mAgent;
+    final DataCentreId mDataCentre;
+    final VmHealth mHealth = new VmHealth();
+    final Map<TaskName, Attempt> mAttempts = new HashMap<>();
+
+    /** Runs of jobs that this owner does not know; the VM takes nothing while there are any. */
+    final Set<TaskName> mForeign = new HashSet<>();
+
+    private final Deque<PendingEnd> mPendingEnds = new ArrayDeque<>();
+    WorkerInfo mWorker;
+    boolean mConnected;
+
+    /** Time of the last answer to the agent, from which its authority over leases runs. */
+    long mAnsweredAt;
+
+    /** Time before which nothing is ordered, after a refused start. */
+    long mPausedUntil = Long.MIN_VALUE;
+
+    /** True once the list of VMs in the store names this incarnation. */
+    boolean mRegistered;
+
+    long mLastEnd;
+    long mAcknowledged;
+    Resources mReserved = Resources.NONE;
+    long mFillerCpu;
+    long mServingCpu;
+
+    Vm(DaemonId agent, DataCentreId dataCentre) {
+        mAgent = agent;
+        mDataCentre = dataCentre;
+    }
+
+    boolean runs(WorkerId worker) {
+        return mWorker != null && mWorker.id().equals(worker);
+    }
+
+    /** Forgets the counts of an earlier incarnation of the worker. */
+    void reborn(WorkerInfo worker) {
+        mWorker = worker;
+        mRegistered = false;
+        mPendingEnds.clear();
+        mForeign.clear();
+        mLastEnd = 0;
+        mAcknowledged = 0;
+        mHealth.succeeded();
+    }
+
+    Resources free() {
+        return mWorker.capacity().minus(mReserved);
+    }
+
+    /** Processor time that neither reservations nor fillers ask for; negative when shared. */
+    long spareCpu() {
+        return mWorker.capacity().milliCpu() - mReserved.milliCpu() - mFillerCpu;
+    }
+
+    void add(Attempt attempt) {
+        mAttempts.put(attempt.mTask.mName, attempt);
+        account(attempt, 1);
+    }
+
+    void remove(Attempt attempt) {
+        if (mAttempts.remove(attempt.mTask.mName, attempt)) {
+            account(attempt, -1);
+        }
+    }
+
+    long attemptsOf(Step step) {
+        return mAttempts.values().stream().filter(a -> a.mTask.mStep == step).count();
+    }
+
+    /** Queues an end for acknowledgement once the given version of the job is stored. */
+    void awaitStored(long number, Job job) {
+        mPendingEnds.add(new PendingEnd(number, job, job == null ? 0 : job.version()));
+    }
+
+    /** Highest number up to which all ends are stored. */
+    long acknowledgeable() {
+        while (!mPendingEnds.isEmpty() && mPendingEnds.peek().stored()) {
+            mAcknowledged = mPendingEnds.poll().mNumber;
+        }
+        return mAcknowledged;
+    }
+
+    private void account(Attempt attempt, int sign) {
+        var spec = attempt.mTask.mStep.mSpec;
+        mReserved =
+                sign > 0 ? mReserved.plus(spec.reservation()) : mReserved.minus(spec.reservation());
+        if (spec.traits().filler()) {
+            mFillerCpu += sign * spec.perTask().milliCpu();
+        }
+        if (spec.serving()) {
+            mServingCpu += sign * spec.perTask().milliCpu();
+        }
+    }
+
+    private record PendingEnd(long mNumber, Job mJob, long mVersion) {
+        boolean stored() {
+            return mJob == null || mJob.storedVersion() >= mVersion;
+        }
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -0,0 +1,83 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Optional;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.StepSpec;
+
+/**
+ * Chooses the VM for a task.
+ *
+ * <p>Serving tasks are packed, so that few VMs have something that fillers can disturb. Fillers go
+ * where the most processor time is left over, and to VMs with serving tasks only for a fraction of
+ * it. Other batch tasks are spread over the least reserved VMs.
+ */
+final class VmSelector {
+    /** Share of the spare processor time that a filler may count on beside serving tasks. */
+    private static final double SHARED_SPARE = 0.5;
+
+    /** Part of a filler's demand that has to be spare for it to be worth a start. */
+    private static final double FILLER_DEMAND_PART = 0.9;
+
+    /** Added to a score when the VM is away from the data of the step. */
+    private static final double AWAY_FROM_DATA = 0.5;
+
+    /** Added to a score when the task has failed on the VM before. */
+    private static final double FAILED_BEFORE = 2.0;
+
+    private VmSelector() {}
+
+    /**
+     * Chooses among the VMs that may take orders now.
+     *
+     * @param task the task
+     * @param vms VMs that accept tasks of its service
+     * @return the best VM with room, empty if there is none
+     */
+    static Optional<Vm> select(Task task, Collection<Vm> vms) {
+        return vms.stream()
+                .filter(vm -> allowed(task.mStep, vm))
+                .min(
+                        Comparator.<Vm>comparingDouble(vm -> score(task, vm))
+                                .thenComparing(vm -> vm.mAgent.value()));
+    }
+
+    private static boolean allowed(Step step, Vm vm) {
+        StepSpec spec = step.mSpec;
+        PlacementRule rule = spec.placement();
+        boolean labelled =
+                rule.requiredLabel().isEmpty()
+                        || vm.mWorker.labels().contains(rule.requiredLabel());
+        return labelled
+                && spec.reservation().fitsIn(vm.free())
+                && (rule.maxPerVm() == 0 || vm.attemptsOf(step) < rule.maxPerVm())
+                && (!spec.traits().filler() || worthFilling(spec, vm));
+    }
+
+    private static boolean worthFilling(StepSpec spec, Vm vm) {
+        return usableSpare(vm) >= spec.perTask().milliCpu() * FILLER_DEMAND_PART;
+    }
+
+    private static double usableSpare(Vm vm) {
+        return vm.mServingCpu > 0 ? vm.spareCpu() * SHARED_SPARE : vm.spareCpu();
+    }
+
+    private static double score(Task task, Vm vm) {
+        StepSpec spec = task.mStep.mSpec;
+        double capacity = Math.max(1, vm.mWorker.capacity().milliCpu());
+        double score;
+        if (spec.serving()) {
+            score = vm.mFillerCpu / capacity - 2 * vm.mServingCpu / capacity;
+        } else if (spec.traits().filler()) {
+            score = -usableSpare(vm) / capacity;
+        } else {
+            score = vm.mReserved.milliCpu() / capacity;
+        }
+        String rack = spec.placement().preferredRack();
+        if (!rack.isEmpty() && !rack.equals(vm.mWorker.rack())) {
+            score += AWAY_FROM_DATA;
+        }
+        return task.mFailedOn.contains(vm.mAgent) ? score + FAILED_BEFORE : score;
+    }
+}
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -0,0 +1,262 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+
+/** Follows the VMs: which worker lives where, what it runs, and what may still run out of reach. */
+final class VmTracker {
+    private final OwnerState mState;
+    private final AttemptTracker mAttempts;
+    private final VmList mList;
+
+    /** VMs of earlier owners that have not yet told this owner what they run. */
+    private final Map<DaemonId, WorkerId> mUnresolved;
+
+    VmTracker(OwnerState state, AttemptTracker attempts, VmList list) {
+        mState = state;
+        mAttempts = attempts;
+        mList = list;
+        mUnresolved = new HashMap<>(list.workers());
+    }
+
+    VmList list() {
+        return mList;
+    }
+
+    /**
+     * Tells whether a task that an earlier owner may have started could still run on a VM that has
+     * not reported yet.
+     */
+    boolean unresolved() {
+        long waited = mState.now() - mState.mTakenOverAt;
+        return !mUnresolved.isEmpty() && waited < mState.mSettings.earlierOwnerEnd().toMillis();
+    }
+
+    void report(DaemonId agent, DataCentreId dataCentre, AgentReport report, boolean sameProcess) {
+        Vm vm = mState.mVms.computeIfAbsent(agent, id -> new Vm(id, dataCentre));
+        vm.mConnected = true;
+        if (report.worker().isEmpty() || outdated(vm, report.worker().get())) {
+            return;
+        }
+        meet(vm, report.worker().get());
+        if (!report.listed()) {
+            return;
+        }
+        resolve(vm.mAgent);
+        report.ended().forEach(end -> mAttempts.ended(vm, end));
+        report.running().forEach(row -> reconcile(vm, row, true));
+        report.starting().forEach(row -> reconcile(vm, row, false));
+        releaseAbsent(vm, report, sameProcess);
+        vm.mAttempts.values().forEach(this::describe);
+        register(vm);
+        mState.mOutput.acknowledgeEnds(vm.mAgent, vm.acknowledgeable());
+    }
+
+    /** Takes the complete list of what a worker runs. */
+    void progress(DaemonId agent, WorkerId worker, List<RunningTask> running) {
+        Vm vm = mState.mVms.get(agent);
+        if (vm == null || !vm.runs(worker)) {
+            return;
+        }
+        running.forEach(row -> reconcile(vm, row, true));
+        Set<TaskName> listed = new HashSet<>();
+        running.forEach(row -> listed.add(row.task()));
+        vm.mForeign.retainAll(listed);
+        long settled = mState.now() - mState.mSettings.orderSettling().toMillis();
+        List.copyOf(vm.mAttempts.values()).stream()
+                .filter(a -> !listed.contains(a.mTask.mName) && a.mOrderedAt < settled)
+                .forEach(a -> absent(vm, a));
+    }
+
+    void update(DaemonId agent, WorkerInfo worker) {
+        Vm vm = mState.mVms.get(agent);
+        if (vm != null && vm.runs(worker.id())) {
+            vm.mWorker = worker;
+        }
+    }
+
+    void lost(DaemonId agent, WorkerId worker, String reason) {
+        resolveIf(agent, worker);
+        Vm vm = mState.mVms.get(agent);
+        if (vm == null || !vm.runs(worker)) {
+            return;
+        }
+        forget(vm, reason);
+    }
+
+    void disconnected(DaemonId agent) {
+        Vm vm = mState.mVms.get(agent);
+        if (vm != null) {
+            vm.mConnected = false;
+        }
+    }
+
+    /** Tells whether the agent may be answered, which gives it authority over leases for a time. */
+    boolean answers(DaemonId agent) {
+        Vm vm = mState.mVms.get(agent);
+        if (vm == null || !mState.confirmed()) {
+            return false;
+        }
+        vm.mAnsweredAt = mState.now();
+        return true;
+    }
+
+    /** Gives up VMs that have been out of reach for longer than any lease there can last. */
+    void expire() {
+        long limit = mState.mSettings.leaseEnd().toMillis();
+        mState.mVms.values().stream()
+                .filter(vm -> vm.mWorker != null && mState.now() - vm.mAnsweredAt > limit)
+                .filter(vm -> mState.now() - mState.mTakenOverAt > limit)
+                .toList()
+                .forEach(vm -> forget(vm, "out of reach longer than its lease"));
+        if (!mUnresolved.isEmpty() && !unresolved()) {
+            Set.copyOf(mUnresolved.keySet()).forEach(this::resolve);
+        }
+    }
+
+    void stored() {
+        mState.mVms.values().stream()
+                .filter(vm -> vm.mWorker != null && !mList.dirty())
+                .forEach(vm -> vm.mRegistered = mList.names(vm.mAgent, vm.mWorker.id()));
+    }
+
+    private boolean outdated(Vm vm, WorkerInfo worker) {
+        return vm.mWorker != null && vm.mWorker.id().incarnation() > worker.id().incarnation();
+    }
+
+    private void meet(Vm vm, WorkerInfo worker) {
+        if (vm.runs(worker.id())) {
+            vm.mWorker = worker;
+            return;
+        }
+        if (vm.mWorker != null) {
+            mAttempts.lost(vm, "worker restarted");
+        }
+        vm.reborn(worker);
+        vm.mAnsweredAt = mState.now();
+        mState.mLog.record(
+                "vm.joined",
+                vm.mAgent.value(),
+                "worker",
+                worker.id(),
+                "service",
+                worker.service(),
+                "cpu",
+                worker.capacity().milliCpu());
+    }
+
+    private void register(Vm vm) {
+        mList.put(vm.mAgent, vm.mWorker.id());
+        vm.mRegistered = vm.mRegistered || !mList.dirty();
+    }
+
+    private void forget(Vm vm, String reason) {
+        mState.mLog.record("vm.lost", vm.mAgent.value(), "reason", reason);
+        mAttempts.lost(vm, reason);
+        vm.mWorker = null;
+        vm.mRegistered = false;
+        mList.remove(vm.mAgent);
+    }
+
+    private void resolveIf(DaemonId agent, WorkerId worker) {
+        if (worker.equals(mUnresolved.get(agent))) {
+            resolve(agent);
+        }
+    }
+
+    private void resolve(DaemonId agent) {
+        if (mUnresolved.remove(agent) != null) {
+            mState.mLog.record("vm.resolved", agent.value(), "left", mUnresolved.size());
+            if (!mState.mVms.containsKey(agent)) {
+                mList.remove(agent);
+            }
+        }
+    }
+
+    private void reconcile(Vm vm, RunningTask row, boolean confirmed) {
+        Task task = mState.task(row.task());
+        if (task == null) {
+            vm.mForeign.add(row.task());
+            mState.mOutput.stop(vm.mAgent, row.task(), row.run());
+            return;
+        }
+        Attempt attempt = task.mAttempt;
+        if (attempt != null && (attempt.mVm != vm || attempt.mRun > row.run())) {
+            duplicate(vm, row, attempt);
+            return;
+        }
+        if (attempt == null || attempt.mRun < row.run()) {
+            if (attempt != null) {
+                mAttempts.release(attempt);
+            }
+            attempt = mAttempts.adopt(task, vm, row.run());
+        }
+        if (confirmed) {
+            mAttempts.confirm(attempt);
+            follow(attempt, row);
+        }
+        if (attempt.mStopping || task.mDone || task.mStep.mJob.finished()) {
+            mAttempts.stop(attempt, "not wanted any more");
+        }
+    }
+
+    private void follow(Attempt attempt, RunningTask row) {
+        if (row.percent() != attempt.mPercent || row.figure() > 0) {
+            attempt.mProgressAt = mState.now();
+        }
+        attempt.mPercent = row.percent();
+        attempt.mCheckpoint = row.checkpoint();
+    }
+
+    private void describe(Attempt attempt) {
+        var spec = attempt.mTask.mStep.mSpec;
+        if (spec.traits().filler() || spec.serving()) {
+            mState.mOutput.describe(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun, spec);
+        }
+    }
+
+    private void duplicate(Vm vm, RunningTask row, Attempt attempt) {
+        if (attempt.mVm != vm) {
+            vm.mForeign.add(row.task());
+        }
+        mState.mLog.record(
+                "task.duplicate",
+                row.task(),
+                "run",
+                row.run(),
+                "vm",
+                vm.mAgent.value(),
+                "kept_run",
+                attempt.mRun,
+                "kept_vm",
+                attempt.mVm.mAgent.value());
+        mState.mOutput.stop(vm.mAgent, row.task(), row.run());
+    }
+
+    private void releaseAbsent(Vm vm, AgentReport report, boolean sameProcess) {
+        Set<TaskName> listed = new HashSet<>();
+        report.running().forEach(row -> listed.add(row.task()));
+        report.starting().forEach(row -> listed.add(row.task()));
+        long settled = mState.now() - mState.mSettings.orderSettling().toMillis();
+        List.copyOf(vm.mAttempts.values()).stream()
+                .filter(a -> !listed.contains(a.mTask.mName))
+                .filter(a -> sameProcess || a.mOrderedAt < settled)
+                .forEach(a -> absent(vm, a));
+    }
+
+    private void absent(Vm vm, Attempt attempt) {
+        mState.mLog.record(
+                "task.absent", attempt.mTask.mName, "run", attempt.mRun, "vm", vm.mAgent.value());
+        mAttempts.release(attempt);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/VertxTimers.java
@@ -0,0 +1,30 @@
+package org.knapweedbank.node;
+
+import io.vertx.core.Vertx;
+import java.time.Duration;
+
+/** Timers of a Vert.x event loop. */
+public final class VertxTimers implements Timers {
+    private final Vertx mVertx;
+
+    /**
+     * Creates the timers; their methods are called on one event loop.
+     *
+     * @param vertx the event loops
+     */
+    public VertxTimers(Vertx vertx) {
+        mVertx = vertx;
+    }
+
+    @Override
+    public Runnable after(Duration delay, Runnable task) {
+        long id = mVertx.setTimer(Math.max(1, delay.toMillis()), ignored -> task.run());
+        return () -> mVertx.cancelTimer(id);
+    }
+
+    @Override
+    public Runnable every(Duration interval, Runnable task) {
+        long id = mVertx.setPeriodic(Math.max(1, interval.toMillis()), ignored -> task.run());
+        return () -> mVertx.cancelTimer(id);
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntrySettings.java
@@ -0,0 +1,34 @@
+package org.knapweedbank.node.entry;
+
+import java.time.Duration;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.model.DaemonId;
+
+/**
+ * Settings of an entry.
+ *
+ * @param node name of the entry
+ * @param process start of this process in Unix milliseconds
+ * @param host address for links
+ * @param port port for links
+ * @param strength processor share of the VM; the strongest entry is the preferred owner
+ * @param leaseTtl lease of the entry's keys in the store
+ * @param owner bounds of the owner
+ */
+public record EntrySettings(
+        DaemonId node,
+        long process,
+        String host,
+        int port,
+        double strength,
+        Duration leaseTtl,
+        OwnerSettings owner) {
+    /**
+     * Address for links.
+     *
+     * @return HOST:PORT
+     */
+    public String address() {
+        return host + ":" + port;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/entry/MemberView.java
@@ -0,0 +1,70 @@
+package org.knapweedbank.node.entry;
+
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.knapweedbank.node.store.StoreEvent;
+import org.knapweedbank.node.store.StoreItem;
+
+/** Copy of the membership keys of the store. */
+final class MemberView {
+    private final Map<String, StoreItem> mItems = new HashMap<>();
+
+    void replace(List<StoreItem> items) {
+        mItems.clear();
+        items.forEach(item -> mItems.put(item.key(), item));
+    }
+
+    void apply(StoreEvent event) {
+        if (event.removed()) {
+            mItems.remove(event.key());
+        } else {
+            mItems.put(event.key(), new StoreItem(event.key(), event.value(), event.revision()));
+        }
+    }
+
+    /** The owner; empty if there is none or its record can't be read. */
+    Optional<OwnerRecord> owner() {
+        StoreItem item = mItems.get(StoreKeys.OWNER);
+        if (item == null) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(OwnerRecord.decode(item.value()));
+        } catch (IllegalArgumentException e) {
+            return Optional.empty();
+        }
+    }
+
+    long ownerRevision() {
+        return revision(StoreKeys.OWNER);
+    }
+
+    long termRevision() {
+        return revision(StoreKeys.TERM);
+    }
+
+    long term() {
+        StoreItem item = mItems.get(StoreKeys.TERM);
+        return item == null ? 0 : Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
+    }
+
+    /** Values of the entries' keys by key. */
+    Map<String, String> entries() {
+        Map<String, String> entries = new HashMap<>();
+        mItems.forEach(
+                (key, item) -> {
+                    if (key.startsWith(StoreKeys.ENTRIES)) {
+                        entries.put(key, new String(item.value(), StandardCharsets.UTF_8));
+                    }
+                });
+        return entries;
+    }
+
+    private long revision(String key) {
+        StoreItem item = mItems.get(key);
+        return item == null ? 0 : item.revision();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -0,0 +1,225 @@
+package org.knapweedbank.node.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.owner.Job;
+import org.knapweedbank.jobs.owner.JobOwner;
+import org.knapweedbank.jobs.owner.JobRecords;
+import org.knapweedbank.jobs.owner.VmList;
+import org.knapweedbank.node.Timers;
+import org.knapweedbank.node.store.CoordinationStore;
+import org.knapweedbank.node.store.StoreChange;
+import org.knapweedbank.node.store.StoreItem;
+import org.knapweedbank.node.store.WriteOutcome;
+import org.knapweedbank.time.Clock;
+
+/**
+ * Writes the changed records of the owner, several in one change. One change is under way at a
+ * time. Each is guarded by the revision of the owner's term and by those of the records, so that a
+ * change without an answer can't overwrite a newer record when it is made late.
+ */
+final class RecordWriter {
+    /** Time between the starts of two changes, in which further records gather. */
+    private static final Duration GATHER = Duration.ofMillis(15);
+
+    private static final Duration RETRY = Duration.ofMillis(100);
+
+    /** Conditions and puts of a job's record. */
+    private static final int ENTRIES_PER_RECORD = 2;
+
+    private static final int MAX_JOBS =
+            (StoreChange.MAX_ENTRIES - 1 - ENTRIES_PER_RECORD) / ENTRIES_PER_RECORD;
+
+    private final JobOwner mOwner;
+    private final CoordinationStore mStore;
+    private final Timers mTimers;
+    private final Clock mClock;
+    private final DecisionLog mLog;
+    private final long mTermRevision;
+    private final Listener mListener;
+
+    /** Jobs of which a write without an answer may still be made. */
+    private final Set<Job> mUncertain = new HashSet<>();
+
+    private boolean mWriting;
+    private boolean mScheduled;
+    private boolean mStopped;
+    private long mStartedAt = Long.MIN_VALUE / 2;
+    private long mFailingSince = -1;
+
+    RecordWriter(
+            JobOwner owner,
+            CoordinationStore store,
+            Timers timers,
+            Clock clock,
+            DecisionLog log,
+            long termRevision,
+            Listener listener) {
+        mOwner = owner;
+        mStore = store;
+        mTimers = timers;
+        mClock = clock;
+        mLog = log;
+        mTermRevision = termRevision;
+        mListener = listener;
+    }
+
+    void stop() {
+        mStopped = true;
+    }
+
+    /** How long writes have failed; zero while they succeed. */
+    Duration failing() {
+        return mFailingSince < 0
+                ? Duration.ZERO
+                : Duration.ofMillis(mClock.monotonicMillis() - mFailingSince);
+    }
+
+    boolean uncertain(Job job) {
+        return mUncertain.contains(job);
+    }
+
+    boolean idle() {
+        return !mWriting && !mOwner.vmList().dirty() && mOwner.unwritten(1).isEmpty();
+    }
+
+    /** Writes what has changed, now or as soon as the present change is done. */
+    void pump() {
+        if (mWriting || mScheduled || mStopped) {
+            return;
+        }
+        long wait = mStartedAt + GATHER.toMillis() - mClock.monotonicMillis();
+        if (wait > 0) {
+            later(Duration.ofMillis(wait));
+        } else {
+            write();
+        }
+    }
+
+    private void later(Duration wait) {
+        mScheduled = true;
+        mTimers.after(
+                wait,
+                () -> {
+                    mScheduled = false;
+                    if (!mWriting && !mStopped) {
+                        write();
+                    }
+                });
+    }
+
+    private void write() {
+        List<Job> jobs = mOwner.unwritten(MAX_JOBS);
+        VmList list = mOwner.vmList();
+        List<Job> expired = jobs.isEmpty() ? mOwner.expired() : List.of();
+        if (jobs.isEmpty() && !list.dirty() && expired.isEmpty()) {
+            return;
+        }
+        StoreChange change = new StoreChange().expect(StoreKeys.TERM, mTermRevision);
+        Map<Job, Long> versions = new HashMap<>();
+        for (Job job : jobs) {
+            versions.put(job, job.version());
+            change.expect(StoreKeys.job(job.id()), job.revision());
+            change.put(StoreKeys.job(job.id()), JobRecords.encode(job), 0);
+        }
+        long listVersion = list.dirty() ? list.version() : -1;
+        if (list.dirty()) {
+            change.expect(StoreKeys.VMS, list.revision()).put(StoreKeys.VMS, list.encode(), 0);
+        }
+        List<Job> removed = new ArrayList<>(expired.subList(0, Math.min(MAX_JOBS, expired.size())));
+        removed.forEach(
+                job ->
+                        change.expect(StoreKeys.job(job.id()), job.revision())
+                                .remove(StoreKeys.job(job.id())));
+        mWriting = true;
+        mStartedAt = mClock.monotonicMillis();
+        mStore.write(change, outcome -> wrote(versions, listVersion, removed, outcome));
+    }
+
+    private void wrote(
+            Map<Job, Long> versions, long listVersion, List<Job> removed, WriteOutcome outcome) {
+        mWriting = false;
+        if (mStopped) {
+            return;
+        }
+        if (!(outcome instanceof WriteOutcome.Written)) {
+            failed(outcome);
+        }
+        switch (outcome) {
+            case WriteOutcome.Written written -> {
+                mFailingSince = -1;
+                long revision = written.revision();
+                versions.forEach((job, version) -> mOwner.written(job, version, revision));
+                mUncertain.removeAll(versions.keySet());
+                if (listVersion >= 0) {
+                    mOwner.listWritten(listVersion, revision);
+                }
+                removed.forEach(mOwner::withdraw);
+                mOwner.confirmed();
+                mListener.written();
+                pump();
+            }
+            case WriteOutcome.Conflict conflict -> conflict(versions, listVersion, conflict);
+            case WriteOutcome.Unknown ignored -> {
+                mUncertain.addAll(versions.keySet());
+                later(RETRY);
+            }
+            case WriteOutcome.NotDone ignored -> later(RETRY);
+            case WriteOutcome.LeaseEnded ignored -> later(RETRY);
+        }
+    }
+
+    private void failed(WriteOutcome outcome) {
+        if (mFailingSince < 0) {
+            mFailingSince = mStartedAt;
+            mLog.record("writer.failing", "store", "outcome", outcome);
+        }
+        mListener.failing();
+    }
+
+    /**
+     * Either a later owner exists, or an earlier change without an answer was made after all: then
+     * the revisions of its records are taken over and the records are written again.
+     */
+    private void conflict(
+            Map<Job, Long> versions, long listVersion, WriteOutcome.Conflict conflict) {
+        Map<String, StoreItem> items = new HashMap<>();
+        conflict.items().forEach(item -> items.put(item.key(), item));
+        StoreItem term = items.get(StoreKeys.TERM);
+        if (term == null || term.revision() != mTermRevision) {
+            mLog.record("writer.deposed", mTermRevision);
+            mStopped = true;
+            mListener.deposed();
+            return;
+        }
+        versions.keySet()
+                .forEach(
+                        job -> {
+                            StoreItem item = items.get(StoreKeys.job(job.id()));
+                            mOwner.written(job, 0, item == null ? 0 : item.revision());
+                        });
+        if (listVersion >= 0) {
+            StoreItem item = items.get(StoreKeys.VMS);
+            mOwner.listWritten(0, item == null ? 0 : item.revision());
+        }
+        later(RETRY);
+    }
+
+    /** Receives the outcome of writes. */
+    interface Listener {
+        /** Records are stored. */
+        void written();
+
+        /** A write has failed and is repeated. */
+        void failing();
+
+        /** A later owner has begun its term. */
+        void deposed();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/entry/StoreKeys.java
@@ -0,0 +1,35 @@
+package org.knapweedbank.node.entry;
+
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.JobId;
+
+/** Keys of the project in the store. */
+final class StoreKeys {
+    /** Prefix of all that concerns membership and ownership. */
+    static final String MEMBERS = "kb/m/";
+
+    /** Prefix of the addresses of the entries, each under the lease of its entry. */
+    static final String ENTRIES = MEMBERS + "entry/";
+
+    /** The present owner, under the lease of its entry. */
+    static final String OWNER = MEMBERS + "owner";
+
+    /** Number of the newest term. Each write of an owner is guarded by the revision of this key. */
+    static final String TERM = MEMBERS + "term";
+
+    /** Prefix of the jobs. */
+    static final String JOBS = "kb/jobs/";
+
+    /** List of the VMs on which something may run. */
+    static final String VMS = "kb/vms";
+
+    private StoreKeys() {}
+
+    static String entry(DaemonId entry) {
+        return ENTRIES + entry.value();
+    }
+
+    static String job(JobId job) {
+        return JOBS + job.value();
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -0,0 +1,332 @@
+package org.knapweedbank.node.link;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.JobState;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.StartOutcome;
+import org.knapweedbank.jobs.SubmissionCodec;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.CallAnswer;
+import org.knapweedbank.node.CallRequest;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+/**
+ * MessagePack codec of the messages between processes. It packs field by field: a reflective mapper
+ * would double the start-up time of a daemon on a small VM.
+ */
+final class NodeCodec {
+    private static final int AGENT_HELLO = 1;
+    private static final int ENTRY_HELLO = 2;
+    private static final int WELCOME = 3;
+    private static final int REDIRECT = 4;
+    private static final int PING = 5;
+    private static final int PONG = 6;
+    private static final int REPORT = 7;
+    private static final int PROGRESS = 8;
+    private static final int ENDS = 9;
+    private static final int OUTCOME = 10;
+    private static final int WORKER_UPDATE = 11;
+    private static final int WORKER_LOST = 12;
+    private static final int START = 13;
+    private static final int STOP = 14;
+    private static final int ENDS_STORED = 15;
+    private static final int CALL = 16;
+    private static final int REPLY = 17;
+    private static final int DESCRIBE = 18;
+
+    private NodeCodec() {}
+
+    static byte[] encode(NodeMessage message) {
+        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+            pack(out, message);
+            return out.toByteArray();
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot encode " + message, e);
+        }
+    }
+
+    static NodeMessage decode(byte[] bytes) throws IOException {
+        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+            return unpack(in);
+        } catch (RuntimeException e) {
+            throw new IOException("malformed message: " + e.getMessage(), e);
+        }
+    }
+
+    private static void pack(MessagePacker out, NodeMessage message) throws IOException {
+        switch (message) {
+            case NodeMessage.AgentHello m -> {
+                out.packInt(AGENT_HELLO).packString(m.agent().value()).packLong(m.process());
+                out.packString(m.dataCentre().value());
+            }
+            case NodeMessage.EntryHello m -> out.packInt(ENTRY_HELLO).packString(m.entry().value());
+            case NodeMessage.Welcome m -> out.packInt(WELCOME).packLong(m.term());
+            case NodeMessage.Redirect m -> out.packInt(REDIRECT).packString(m.owner());
+            case NodeMessage.Ping m -> out.packInt(PING).packLong(m.number());
+            case NodeMessage.Pong m -> out.packInt(PONG).packLong(m.number());
+            case NodeMessage.Report m -> packReport(out.packInt(REPORT), m.report());
+            case NodeMessage.Progress m -> {
+                packWorker(out.packInt(PROGRESS), m.worker());
+                packRunning(out, m.running());
+            }
+            case NodeMessage.Ends m -> {
+                packWorker(out.packInt(ENDS), m.worker());
+                packEnds(out, m.ends());
+            }
+            case NodeMessage.Outcome m -> {
+                packTask(out.packInt(OUTCOME), m.task());
+                out.packLong(m.run()).packInt(m.outcome().ordinal());
+            }
+            case NodeMessage.WorkerUpdate m -> packInfo(out.packInt(WORKER_UPDATE), m.worker());
+            case NodeMessage.WorkerLost m -> {
+                packWorker(out.packInt(WORKER_LOST), m.worker());
+                out.packString(m.reason());
+            }
+            case NodeMessage.Start m -> {
+                packWorker(out.packInt(START), m.worker());
+                packOrder(out.packLong(m.permit()), m.order());
+            }
+            case NodeMessage.Stop m -> packTask(out.packInt(STOP), m.task()).packLong(m.run());
+            case NodeMessage.Describe m -> {
+                packTask(out.packInt(DESCRIBE), m.task()).packLong(m.run());
+                out.packBoolean(m.filler()).packLong(m.latencyObjective().toMillis());
+            }
+            case NodeMessage.EndsStored m -> out.packInt(ENDS_STORED).packLong(m.number());
+            case NodeMessage.Call m ->
+                    packCall(out.packInt(CALL).packLong(m.number()), m.request());
+            case NodeMessage.Reply m ->
+                    packAnswer(out.packInt(REPLY).packLong(m.number()), m.answer());
+        }
+    }
+
+    private static NodeMessage unpack(MessageUnpacker in) throws IOException {
+        int type = in.unpackInt();
+        return switch (type) {
+            case AGENT_HELLO ->
+                    new NodeMessage.AgentHello(
+                            new DaemonId(in.unpackString()),
+                            in.unpackLong(),
+                            new DataCentreId(in.unpackString()));
+            case ENTRY_HELLO -> new NodeMessage.EntryHello(new DaemonId(in.unpackString()));
+            case WELCOME -> new NodeMessage.Welcome(in.unpackLong());
+            case REDIRECT -> new NodeMessage.Redirect(in.unpackString());
+            case PING -> new NodeMessage.Ping(in.unpackLong());
+            case PONG -> new NodeMessage.Pong(in.unpackLong());
+            case REPORT -> new NodeMessage.Report(unpackReport(in));
+            case PROGRESS -> new NodeMessage.Progress(unpackWorker(in), unpackRunning(in));
+            case ENDS -> new NodeMessage.Ends(unpackWorker(in), unpackEnds(in));
+            case OUTCOME ->
+                    new NodeMessage.Outcome(
+                            unpackTask(in), in.unpackLong(), StartOutcome.values()[in.unpackInt()]);
+            case WORKER_UPDATE -> new NodeMessage.WorkerUpdate(unpackInfo(in));
+            case WORKER_LOST -> new NodeMessage.WorkerLost(unpackWorker(in), in.unpackString());
+            case START -> new NodeMessage.Start(unpackWorker(in), in.unpackLong(), unpackOrder(in));
+            case STOP -> new NodeMessage.Stop(unpackTask(in), in.unpackLong());
+            case DESCRIBE ->
+                    new NodeMessage.Describe(
+                            unpackTask(in),
+                            in.unpackLong(),
+                            in.unpackBoolean(),
+                            Duration.ofMillis(in.unpackLong()));
+            case ENDS_STORED -> new NodeMessage.EndsStored(in.unpackLong());
+            case CALL -> new NodeMessage.Call(in.unpackLong(), unpackCall(in));
+            case REPLY -> new NodeMessage.Reply(in.unpackLong(), unpackAnswer(in));
+            default -> throw new IOException("unknown message type " + type);
+        };
+    }
+
+    private static MessagePacker packTask(MessagePacker out, TaskName task) throws IOException {
+        out.packString(task.job().value()).packInt(task.occurrence());
+        out.packInt(task.step()).packInt(task.index());
+        return out;
+    }
+
+    private static TaskName unpackTask(MessageUnpacker in) throws IOException {
+        return new TaskName(
+                new JobId(in.unpackString()), in.unpackInt(), in.unpackInt(), in.unpackInt());
+    }
+
+    private static void packWorker(MessagePacker out, WorkerId worker) throws IOException {
+        out.packString(worker.id()).packLong(worker.incarnation());
+    }
+
+    private static WorkerId unpackWorker(MessageUnpacker in) throws IOException {
+        return new WorkerId(in.unpackString(), in.unpackLong());
+    }
+
+    private static void packInfo(MessagePacker out, WorkerInfo info) throws IOException {
+        packWorker(out, info.id());
+        out.packString(info.service());
+        out.packLong(info.capacity().milliCpu()).packLong(info.capacity().memoryMb());
+        out.packInt(info.capacity().accelerators());
+        out.packArrayHeader(info.labels().size());
+        for (String label : info.labels()) {
+            out.packString(label);
+        }
+        out.packString(info.rack()).packBoolean(info.draining());
+    }
+
+    private static WorkerInfo unpackInfo(MessageUnpacker in) throws IOException {
+        WorkerId id = unpackWorker(in);
+        String service = in.unpackString();
+        Resources capacity = new Resources(in.unpackLong(), in.unpackLong(), in.unpackInt());
+        int count = in.unpackArrayHeader();
+        List<String> labels = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            labels.add(in.unpackString());
+        }
+        return new WorkerInfo(id, service, capacity, labels, in.unpackString(), in.unpackBoolean());
+    }
+
+    private static void packReport(MessagePacker out, AgentReport report) throws IOException {
+        out.packBoolean(report.worker().isPresent());
+        if (report.worker().isPresent()) {
+            packInfo(out, report.worker().get());
+        }
+        out.packBoolean(report.listed());
+        packRunning(out, report.starting());
+        packRunning(out, report.running());
+        packEnds(out, report.ended());
+    }
+
+    private static AgentReport unpackReport(MessageUnpacker in) throws IOException {
+        Optional<WorkerInfo> worker =
+                in.unpackBoolean() ? Optional.of(unpackInfo(in)) : Optional.empty();
+        return new AgentReport(
+                worker, in.unpackBoolean(), unpackRunning(in), unpackRunning(in), unpackEnds(in));
+    }
+
+    private static void packRunning(MessagePacker out, List<RunningTask> rows) throws IOException {
+        out.packArrayHeader(rows.size());
+        for (RunningTask row : rows) {
+            packTask(out, row.task()).packLong(row.run());
+            out.packString(row.checkpoint()).packInt(row.percent()).packLong(row.figure());
+        }
+    }
+
+    private static List<RunningTask> unpackRunning(MessageUnpacker in) throws IOException {
+        int count = in.unpackArrayHeader();
+        List<RunningTask> rows = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            rows.add(
+                    new RunningTask(
+                            unpackTask(in),
+                            in.unpackLong(),
+                            in.unpackString(),
+                            in.unpackInt(),
+                            in.unpackLong()));
+        }
+        return rows;
+    }
+
+    private static void packEnds(MessagePacker out, List<EndedTask> ends) throws IOException {
+        out.packArrayHeader(ends.size());
+        for (EndedTask end : ends) {
+            packTask(out.packLong(end.number()), end.task()).packLong(end.run());
+            out.packInt(end.how().ordinal()).packString(end.checkpoint());
+        }
+    }
+
+    private static List<EndedTask> unpackEnds(MessageUnpacker in) throws IOException {
+        int count = in.unpackArrayHeader();
+        List<EndedTask> ends = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            ends.add(
+                    new EndedTask(
+                            in.unpackLong(),
+                            unpackTask(in),
+                            in.unpackLong(),
+                            EndKind.values()[in.unpackInt()],
+                            in.unpackString()));
+        }
+        return ends;
+    }
+
+    private static void packOrder(MessagePacker out, StartOrder order) throws IOException {
+        packTask(out, order.task()).packLong(order.run());
+        out.packString(order.spec()).packString(order.checkpoint()).packBoolean(order.filler());
+        out.packLong(order.latencyObjective().toMillis());
+    }
+
+    private static StartOrder unpackOrder(MessageUnpacker in) throws IOException {
+        return new StartOrder(
+                unpackTask(in),
+                in.unpackLong(),
+                in.unpackString(),
+                in.unpackString(),
+                in.unpackBoolean(),
+                Duration.ofMillis(in.unpackLong()));
+    }
+
+    private static void packCall(MessagePacker out, CallRequest call) throws IOException {
+        out.packString(call.queue().host()).packString(call.queue().prefix());
+        switch (call) {
+            case CallRequest.Submit c ->
+                    SubmissionCodec.pack(out.packString("submit"), c.submission());
+            case CallRequest.Read c -> out.packString("read").packString(c.job().value());
+            case CallRequest.Cancel c -> out.packString("cancel").packString(c.job().value());
+            case CallRequest.Count c -> out.packString("count");
+        }
+    }
+
+    private static CallRequest unpackCall(MessageUnpacker in) throws IOException {
+        QueueKey queue = new QueueKey(in.unpackString(), in.unpackString());
+        String kind = in.unpackString();
+        return switch (kind) {
+            case "submit" -> new CallRequest.Submit(queue, SubmissionCodec.unpack(in));
+            case "read" -> new CallRequest.Read(queue, new JobId(in.unpackString()));
+            case "cancel" -> new CallRequest.Cancel(queue, new JobId(in.unpackString()));
+            case "count" -> new CallRequest.Count(queue);
+            default -> throw new IOException("unknown call " + kind);
+        };
+    }
+
+    private static void packAnswer(MessagePacker out, CallAnswer answer) throws IOException {
+        switch (answer) {
+            case CallAnswer.Accepted a -> out.packString("accepted");
+            case CallAnswer.Refused a -> {
+                out.packString("refused").packString(a.reason()).packBoolean(a.overload());
+                out.packLong(a.retryAfter().toMillis());
+            }
+            case CallAnswer.OutcomeUnknown a -> out.packString("unknown").packString(a.reason());
+            case CallAnswer.NoSuchJob a -> out.packString("gone");
+            case CallAnswer.State a -> out.packString("state").packInt(a.state().ordinal());
+            case CallAnswer.Pending a -> out.packString("pending").packLong(a.count());
+        }
+    }
+
+    private static CallAnswer unpackAnswer(MessageUnpacker in) throws IOException {
+        String kind = in.unpackString();
+        return switch (kind) {
+            case "accepted" -> new CallAnswer.Accepted();
+            case "refused" ->
+                    new CallAnswer.Refused(
+                            in.unpackString(),
+                            in.unpackBoolean(),
+                            Duration.ofMillis(in.unpackLong()));
+            case "unknown" -> new CallAnswer.OutcomeUnknown(in.unpackString());
+            case "gone" -> new CallAnswer.NoSuchJob();
+            case "state" -> new CallAnswer.State(JobState.values()[in.unpackInt()]);
+            case "pending" -> new CallAnswer.Pending(in.unpackLong());
+            default -> throw new IOException("unknown answer " + kind);
+        };
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
@@ -0,0 +1,134 @@
+package org.knapweedbank.node.link;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.buffer.Buffer;
+import io.vertx.core.net.NetSocket;
+import io.vertx.core.parsetools.RecordParser;
+import java.io.IOException;
+import org.knapweedbank.jobs.DecisionLog;
+
+/**
+ * Link over one TCP connection. Frames have a length of four bytes; an empty frame only shows that
+ * the sender lives. A link that has been silent for {@link #SILENCE_MILLIS} is closed, as a
+ * connection may go silent without a reset.
+ */
+final class SocketLink implements Link {
+    private static final int LENGTH_BYTES = 4;
+    private static final int MAX_FRAME_BYTES = 4 << 20;
+    private static final int MAX_QUEUED_BYTES = 8 << 20;
+    private static final long CHECK_MILLIS = 500;
+    private static final long IDLE_MILLIS = 900;
+    private static final long SILENCE_MILLIS = 2_500;
+
+    private final Vertx mVertx;
+    private final NetSocket mSocket;
+    private final DecisionLog mLog;
+    private final String mRemote;
+    private LinkListener mListener;
+    private boolean mClosed;
+    private long mTimer;
+    private long mSentAt;
+    private long mReceivedAt;
+
+    SocketLink(Vertx vertx, NetSocket socket, DecisionLog log) {
+        mVertx = vertx;
+        mSocket = socket;
+        mLog = log;
+        mRemote = String.valueOf(socket.remoteAddress());
+    }
+
+    void open(LinkListener listener) {
+        mListener = listener;
+        mSentAt = millis();
+        mReceivedAt = mSentAt;
+        RecordParser parser = RecordParser.newFixed(LENGTH_BYTES);
+        boolean[] inBody = new boolean[1];
+        parser.handler(
+                buffer -> {
+                    if (inBody[0]) {
+                        inBody[0] = false;
+                        parser.fixedSizeMode(LENGTH_BYTES);
+                        receive(buffer.getBytes());
+                        return;
+                    }
+                    int length = buffer.getInt(0);
+                    if (length < 0 || length > MAX_FRAME_BYTES) {
+                        close("frame length " + length);
+                    } else if (length > 0) {
+                        inBody[0] = true;
+                        parser.fixedSizeMode(length);
+                    }
+                });
+        mSocket.handler(
+                buffer -> {
+                    mReceivedAt = millis();
+                    parser.handle(buffer);
+                });
+        mSocket.exceptionHandler(e -> finish(String.valueOf(e.getMessage())));
+        mSocket.closeHandler(ignored -> finish("closed by the peer"));
+        mTimer = mVertx.setPeriodic(CHECK_MILLIS, ignored -> check());
+    }
+
+    @Override
+    public void send(NodeMessage message) {
+        if (mClosed) {
+            return;
+        }
+        byte[] body = NodeCodec.encode(message);
+        mSentAt = millis();
+        mSocket.write(
+                Buffer.buffer(LENGTH_BYTES + body.length).appendInt(body.length).appendBytes(body));
+    }
+
+    @Override
+    public void close(String reason) {
+        if (!mClosed) {
+            mSocket.close();
+            finish(reason);
+        }
+    }
+
+    @Override
+    public String remote() {
+        return mRemote;
+    }
+
+    private void receive(byte[] body) {
+        if (mClosed) {
+            return;
+        }
+        try {
+            mListener.received(NodeCodec.decode(body));
+        } catch (IOException e) {
+            mLog.record("link.malformed", mRemote, "cause", e.getMessage());
+            close("malformed message");
+        }
+    }
+
+    private void check() {
+        long now = millis();
+        if (now - mReceivedAt > SILENCE_MILLIS) {
+            close("silent for " + (now - mReceivedAt) + " ms");
+        } else if (now - mSentAt >= IDLE_MILLIS) {
+            mSentAt = now;
+            mSocket.setWriteQueueMaxSize(MAX_QUEUED_BYTES);
+            if (mSocket.writeQueueFull()) {
+                close("the peer does not read");
+                return;
+            }
+            mSocket.write(Buffer.buffer(LENGTH_BYTES).appendInt(0));
+        }
+    }
+
+    private void finish(String reason) {
+        if (!mClosed) {
+            mClosed = true;
+            mVertx.cancelTimer(mTimer);
+            mListener.closed(reason);
+        }
+    }
+
+    private static long millis() {
+        return System.nanoTime() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/link/VertxLinks.java
@@ -0,0 +1,71 @@
+package org.knapweedbank.node.link;
+
+import io.vertx.core.Vertx;
+import io.vertx.core.net.NetClient;
+import io.vertx.core.net.NetClientOptions;
+import io.vertx.core.net.NetServerOptions;
+import io.vertx.core.net.NetSocket;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.knapweedbank.jobs.DecisionLog;
+
+/** Links over TCP. */
+public final class VertxLinks implements Links {
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+
+    private final Vertx mVertx;
+    private final DecisionLog mLog;
+    private final NetClient mClient;
+
+    /**
+     * Creates the links; all callbacks come on the calling event loop.
+     *
+     * @param vertx event loops
+     * @param log receives malformed messages
+     */
+    public VertxLinks(Vertx vertx, DecisionLog log) {
+        mVertx = vertx;
+        mLog = log;
+        mClient =
+                vertx.createNetClient(
+                        new NetClientOptions()
+                                .setTcpNoDelay(true)
+                                .setConnectTimeout(CONNECT_TIMEOUT_MILLIS));
+    }
+
+    @Override
+    public void connect(
+            String address, Function<Link, LinkListener> listener, Consumer<String> failed) {
+        int colon = address.lastIndexOf(':');
+        int port;
+        try {
+            port = Integer.parseInt(address.substring(colon + 1));
+        } catch (NumberFormatException e) {
+            failed.accept("address is not HOST:PORT: " + address);
+            return;
+        }
+        mClient.connect(port, address.substring(0, Math.max(0, colon)))
+                .onSuccess(socket -> open(socket, listener))
+                .onFailure(e -> failed.accept(String.valueOf(e.getMessage())));
+    }
+
+    @Override
+    public void listen(String host, int port, Function<Link, LinkListener> listener) {
+        mVertx.createNetServer(new NetServerOptions().setTcpNoDelay(true).setReuseAddress(true))
+                .connectHandler(socket -> open(socket, listener))
+                .listen(port, host)
+                .onSuccess(server -> mLog.record("link.listening", host + ":" + port))
+                .onFailure(
+                        e ->
+                                mLog.record(
+                                        "link.listen_failed",
+                                        host + ":" + port,
+                                        "cause",
+                                        e.getMessage()));
+    }
+
+    private void open(NetSocket socket, Function<Link, LinkListener> listener) {
+        SocketLink link = new SocketLink(mVertx, socket, mLog);
+        link.open(listener.apply(link));
+    }
+}
--- /dev/null
+++ b/node/src/main/java/org/knapweedbank/node/link/package-info.java
@@ -0,0 +1,2 @@
+/** Connections between the processes of a deployment: MessagePack messages in TCP frames. */
+package org.knapweedbank.node.link;
