Order jobs by objectives that can still be met; test the owner and the agent

Change: jobs that can meet their objective go first; a filler that has waited takes a part of its demand; the pacer backs off later. Ruled out: a lack of memory or of slots; the VMs had room.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
+import java.time.Instant;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -12,9 +13,8 @@
      */
     private static final long ANSWER_AGE_MILLIS = 1_500;
 
-    private static final Comparator<Job> ORDER =
-            Comparator.<Job>comparingInt(job -> job.queue().priority())
-                    .thenComparing(Job::accepted);
+    /** Part of the objective for which a filler waits for a VM with its whole demand to spare. */
+    private static final int PATIENCE_DIVISOR = 4;
 
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
@@ -31,11 +31,14 @@
             return;
         }
         boolean unresolved = mVms.unresolved();
+        Instant now = mState.mClock.wallTime();
         mState.mJobs.values().stream()
                 .filter(job -> job.stored() && !job.finished())
                 .filter(job -> !(job.mInherited && unresolved))
-                .sorted(ORDER)
-                .forEach(this::placeJob);
+                .filter(TaskPlacer::hasWaiting)
+                .map(job -> new Ranked(job, JobUrgency.of(job, now)))
+                .sorted(Comparator.comparing(Ranked::urgency))
+                .forEach(ranked -> placeJob(ranked.job()));
     }
 
     /** Tells whether the owner's knowledge is fresh enough to start anything. */
@@ -44,6 +47,12 @@
         return mState.confirmed() && age <= mState.mSettings.viewAge().toMillis();
     }
 
+    private static boolean hasWaiting(Job job) {
+        return job.mOccurrences.stream()
+                .flatMap(o -> o.mSteps.stream())
+                .anyMatch(step -> step.mWaiting > 0 && step.ready());
+    }
+
     private void placeJob(Job job) {
         List<Vm> vms = mState.mVms.values().stream().filter(vm -> accepts(vm, job)).toList();
         if (vms.isEmpty()) {
@@ -75,16 +84,25 @@
                 && !vm.mHealth.suspended(mState.now());
     }
 
+    /** Tells whether a job may still wait for room that serves it well. */
+    private boolean patient(Job job) {
+        Instant accepted = job.accepted();
+        Instant limit = accepted.plus(JobUrgency.objective(job).dividedBy(PATIENCE_DIVISOR));
+        return mState.mClock.wallTime().isBefore(limit);
+    }
+
     private void placeStep(Step step, List<Vm> vms) {
         for (Task task : step.mTasks) {
             if (!task.waiting() || mState.now() < task.mNotBefore) {
                 continue;
             }
-            Optional<Vm> vm = VmSelector.select(task, vms);
+            Optional<Vm> vm = VmSelector.select(task, vms, patient(step.mJob));
             if (vm.isEmpty()) {
                 return;
             }
             mAttempts.start(task, vm.get());
         }
     }
+
+    private record Ranked(Job job, JobUrgency urgency) {}
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -20,6 +20,9 @@
     /** Part of a filler's demand that has to be spare for it to be worth a start. */
     private static final double FILLER_DEMAND_PART = 0.9;
 
+    /** As above, for a filler that has waited; it would rather be slow than not run. */
+    private static final double IMPATIENT_DEMAND_PART = 0.35;
+
     /** Added to a score when the VM is away from the data of the step. */
     private static final double AWAY_FROM_DATA = 0.5;
 
@@ -33,17 +36,18 @@
      *
      * @param task the task
      * @param vms VMs that accept tasks of its service
+     * @param patient true if a filler may still wait for a VM with its whole demand to spare
      * @return the best VM with room, empty if there is none
      */
-    static Optional<Vm> select(Task task, Collection<Vm> vms) {
+    static Optional<Vm> select(Task task, Collection<Vm> vms, boolean patient) {
         return vms.stream()
-                .filter(vm -> allowed(task.mStep, vm))
+                .filter(vm -> allowed(task.mStep, vm, patient))
                 .min(
                         Comparator.<Vm>comparingDouble(vm -> score(task, vm))
                                 .thenComparing(vm -> vm.mAgent.value()));
     }
 
-    private static boolean allowed(Step step, Vm vm) {
+    private static boolean allowed(Step step, Vm vm, boolean patient) {
         StepSpec spec = step.mSpec;
         PlacementRule rule = spec.placement();
         boolean labelled =
@@ -52,11 +56,12 @@
         return labelled
                 && spec.reservation().fitsIn(vm.free())
                 && (rule.maxPerVm() == 0 || vm.attemptsOf(step) < rule.maxPerVm())
-                && (!spec.traits().filler() || worthFilling(spec, vm));
+                && (!spec.traits().filler() || worthFilling(spec, vm, patient));
     }
 
-    private static boolean worthFilling(StepSpec spec, Vm vm) {
-        return usableSpare(vm) >= spec.perTask().milliCpu() * FILLER_DEMAND_PART;
+    private static boolean worthFilling(StepSpec spec, Vm vm, boolean patient) {
+        double part = patient ? FILLER_DEMAND_PART : IMPATIENT_DEMAND_PART;
+        return usableSpare(vm) >= spec.perTask().milliCpu() * part;
     }
 
     private static double usableSpare(Vm vm) {
--- /dev/null
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
@@ -0,0 +1,200 @@
+package org.knapweedbank.jobs.owner;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.JobQueue;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.StartOutcome;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.time.ManualClock;
+
+/** An owner with a manual clock, a store that is written on demand, and VMs that do as told. */
+final class OwnerWorld implements OwnerOutput {
+    static final QueueKey QUEUE = new QueueKey("example", "/q/");
+    static final DataCentreId DC = new DataCentreId("dc");
+    static final OwnerSettings SETTINGS =
+            new OwnerSettings(
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(6),
+                    Duration.ofMillis(1_500),
+                    Duration.ofSeconds(3),
+                    Duration.ofSeconds(4),
+                    Duration.ofSeconds(150),
+                    1.5);
+
+    final ManualClock mClock;
+    final JobOwner mOwner;
+    final List<Order> mStarts = new ArrayList<>();
+    final List<Order> mStops = new ArrayList<>();
+    final Map<DaemonId, Long> mStoredEnds = new HashMap<>();
+    private final Map<String, Long> mEnds = new HashMap<>();
+    private long mRevision = 100;
+
+    /** An order that went to an agent. */
+    record Order(DaemonId mVm, TaskName mTask, long mRun, String mCheckpoint) {}
+
+    OwnerWorld() {
+        this(new ManualClock(Instant.ofEpochSecond(1_000)), 1, new VmList());
+    }
+
+    OwnerWorld(ManualClock clock, long term, VmList list) {
+        mClock = clock;
+        mOwner = new JobOwner(SETTINGS, clock, this, DecisionLog.NONE, term, list);
+        mOwner.configure(List.of(queue(2)));
+        mOwner.viewIsCurrent();
+    }
+
+    /** The owner of the next term, with what this one has stored. */
+    OwnerWorld successor() throws IOException {
+        VmList list = VmList.decode(mOwner.vmList().encode(), mOwner.vmList().revision());
+        OwnerWorld next = new OwnerWorld(mClock, 2, list);
+        for (Job job : mJobs.values()) {
+            if (job.stored()) {
+                next.mOwner.load(JobRecords.encode(job), job.revision());
+            }
+        }
+        return next;
+    }
+
+    private final Map<String, Job> mJobs = new HashMap<>();
+
+    static JobQueue queue(int maxAttempts) {
+        return new JobQueue(
+                QUEUE, "svc", 0, maxAttempts, 2, Duration.ofSeconds(1), Duration.ofSeconds(3));
+    }
+
+    static StepSpec step(int count, long cpu, StepTraits traits, Integer... after) {
+        return new StepSpec(
+                count,
+                new Resources(cpu, 100, 0),
+                Duration.ofSeconds(1),
+                List.of(after),
+                traits,
+                PlacementRule.ANYWHERE,
+                "",
+                Duration.ZERO,
+                -1);
+    }
+
+    Job submit(String id, StepSpec... steps) {
+        JobSubmission submission =
+                new JobSubmission(new JobId(id), "text", List.of(steps), Timetable.ONCE);
+        SubmitResult result = mOwner.submit(submission, QUEUE);
+        Job job = ((SubmitResult.Known) result).job();
+        mJobs.put(id, job);
+        return job;
+    }
+
+    /** Writes all that is dirty, then schedules. */
+    void store() {
+        for (Job job : mOwner.unwritten(100)) {
+            mOwner.written(job, job.version(), ++mRevision);
+        }
+        VmList list = mOwner.vmList();
+        mOwner.listWritten(list.version(), ++mRevision);
+        mOwner.confirmed();
+        mOwner.acknowledge();
+        mOwner.schedule();
+    }
+
+    static WorkerInfo worker(String vm, long incarnation, long cpu, boolean draining) {
+        return new WorkerInfo(
+                new WorkerId("w-" + vm, incarnation),
+                "svc",
+                new Resources(cpu, 100_000, 0),
+                List.of("a", "r1"),
+                "r1",
+                draining);
+    }
+
+    void join(String vm, long cpu) {
+        report(vm, worker(vm, 1, cpu, false), List.of(), List.of(), true);
+        store();
+    }
+
+    void report(
+            String vm,
+            WorkerInfo worker,
+            List<RunningTask> running,
+            List<EndedTask> ended,
+            boolean sameProcess) {
+        mOwner.report(
+                new DaemonId(vm),
+                DC,
+                new AgentReport(Optional.of(worker), true, List.of(), running, ended),
+                sameProcess);
+        ping(vm);
+    }
+
+    void ping(String vm) {
+        mOwner.answers(new DaemonId(vm));
+    }
+
+    /** Passes time during which agents and store stay in touch. */
+    void pass(Duration time, String... vms) {
+        mClock.advance(time);
+        mOwner.viewIsCurrent();
+        mOwner.confirmed();
+        for (String vm : vms) {
+            ping(vm);
+        }
+        mOwner.schedule();
+    }
+
+    void started(Order order) {
+        mOwner.outcome(order.mVm(), order.mTask(), order.mRun(), StartOutcome.STARTED);
+    }
+
+    void end(Order order, EndKind how, String checkpoint) {
+        String vm = order.mVm().value();
+        long number = mEnds.merge(vm, 1L, Long::sum);
+        EndedTask end = new EndedTask(number, order.mTask(), order.mRun(), how, checkpoint);
+        mOwner.ended(order.mVm(), worker(vm, 1, 0, false).id(), List.of(end));
+        mOwner.schedule();
+    }
+
+    Order last() {
+        return mStarts.getLast();
+    }
+
+    @Override
+    public void start(DaemonId agent, StartOrder order) {
+        mStarts.add(new Order(agent, order.task(), order.run(), order.checkpoint()));
+    }
+
+    @Override
+    public void stop(DaemonId agent, TaskName task, long run) {
+        mStops.add(new Order(agent, task, run, ""));
+    }
+
+    @Override
+    public void describe(DaemonId agent, TaskName task, long run, StepSpec step) {}
+
+    @Override
+    public void acknowledgeEnds(DaemonId agent, long number) {
+        mStoredEnds.put(agent, number);
+    }
+}
--- /dev/null
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -0,0 +1,95 @@
+package org.knapweedbank.jobs.owner;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.model.Resources;
+
+/** Where and in which order tasks are started. */
+class PlacementTest {
+    private static final StepTraits FILLER = new StepTraits(true, false, false, false, true);
+
+    private final OwnerWorld mWorld = new OwnerWorld();
+
+    private static StepSpec limited(int count, int maxPerVm, String label) {
+        return new StepSpec(
+                count,
+                new Resources(100, 10, 0),
+                Duration.ofSeconds(1),
+                List.of(),
+                StepTraits.BATCH,
+                new PlacementRule(label, "", false, maxPerVm),
+                "",
+                Duration.ZERO,
+                -1);
+    }
+
+    /** Guards against more tasks of a step on one VM than the caller allows. */
+    @Test
+    void limitPerVmHolds() {
+        mWorld.join("a", 8_000);
+        mWorld.join("b", 8_000);
+        mWorld.submit("j", limited(6, 2, ""));
+        mWorld.store();
+        var counts =
+                mWorld.mStarts.stream()
+                        .collect(Collectors.groupingBy(o -> o.mVm(), Collectors.counting()));
+        assertThat(counts.values()).containsExactly(2L, 2L);
+    }
+
+    /** Guards against tasks on VMs without the label that they need. */
+    @Test
+    void requiredLabelHolds() {
+        mWorld.join("a", 8_000);
+        mWorld.submit("j", limited(1, 0, "gpu"));
+        mWorld.store();
+        assertThat(mWorld.mStarts).isEmpty();
+        mWorld.submit("k", limited(1, 0, "a"));
+        mWorld.store();
+        assertThat(mWorld.mStarts).hasSize(1);
+    }
+
+    /** Guards against a job that can never run and holds back those behind it. */
+    @Test
+    void jobThatFitsNowhereDoesNotBlockOthers() {
+        mWorld.join("a", 1_000);
+        mWorld.submit("huge", OwnerWorld.step(1, 50_000, StepTraits.BATCH));
+        mWorld.submit("small", OwnerWorld.step(1, 500, StepTraits.BATCH));
+        mWorld.store();
+        assertThat(mWorld.mStarts).hasSize(1);
+        assertThat(mWorld.last().mTask().job().value()).isEqualTo("small");
+    }
+
+    /** Guards against a filler that never runs because no VM can spare its whole demand. */
+    @Test
+    void fillerThatHasWaitedTakesAPartOfItsDemand() {
+        mWorld.join("a", 4_000);
+        mWorld.submit("busy", OwnerWorld.step(1, 2_000, StepTraits.BATCH));
+        mWorld.submit("filler", OwnerWorld.step(1, 3_500, FILLER));
+        mWorld.store();
+        assertThat(mWorld.mStarts).hasSize(1);
+        mWorld.pass(Duration.ofSeconds(2), "a");
+        assertThat(mWorld.mStarts).hasSize(2);
+    }
+
+    /** Guards against jobs that all miss their objective because late ones go first. */
+    @Test
+    void jobThatCanMeetItsObjectiveGoesBeforeOneThatCanNot() {
+        mWorld.submit("late", OwnerWorld.step(1, 1_000, StepTraits.BATCH));
+        mWorld.store();
+        mWorld.pass(Duration.ofSeconds(5));
+        mWorld.submit("fresh", OwnerWorld.step(1, 1_000, StepTraits.BATCH));
+        mWorld.store();
+        mWorld.join("a", 1_000);
+        assertThat(mWorld.last().mTask().job().value()).isEqualTo("fresh");
+        mWorld.end(mWorld.last(), EndKind.DONE, "");
+        assertThat(mWorld.last().mTask().job().value()).isEqualTo("late");
+    }
+}
--- /dev/null
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -0,0 +1,154 @@
+package org.knapweedbank.jobs.owner;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.JobState;
+import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.model.DaemonId;
+
+/** What a new owner does with the jobs and VMs of an earlier one. */
+class TakeoverTest {
+    private final OwnerWorld mFormer = new OwnerWorld();
+
+    private OwnerWorld.Order runOne() {
+        mFormer.join("vm", 8_000);
+        mFormer.submit("a", OwnerWorld.step(1, 1_000, StepTraits.BATCH));
+        mFormer.store();
+        mFormer.started(mFormer.last());
+        return mFormer.last();
+    }
+
+    private static RunningTask row(OwnerWorld.Order order) {
+        return new RunningTask(order.mTask(), order.mRun(), "", 10, 1_000);
+    }
+
+    /** Guards against a second run of a task that runs where the new owner has not looked yet. */
+    @Test
+    void inheritedTaskWaitsUntilAllKnownVmsHaveReported() throws IOException {
+        OwnerWorld.Order order = runOne();
+        OwnerWorld next = mFormer.successor();
+        next.join("other", 8_000);
+        assertThat(next.mStarts).isEmpty();
+        next.report(
+                "vm",
+                OwnerWorld.worker("vm", 1, 8_000, false),
+                List.of(row(order)),
+                List.of(),
+                false);
+        next.store();
+        assertThat(next.mStarts).isEmpty();
+        EndedTask end = new EndedTask(1, order.mTask(), order.mRun(), EndKind.DONE, "");
+        next.mOwner.ended(
+                new DaemonId("vm"), OwnerWorld.worker("vm", 1, 0, false).id(), List.of(end));
+        next.store();
+        assertThat(next.mOwner.find(order.mTask().job()).orElseThrow().state())
+                .isEqualTo(JobState.COMPLETED);
+    }
+
+    /** Guards against waiting for ever for a VM that is gone. */
+    @Test
+    void inheritedTaskStartsWhenNothingOfTheFormerOwnerCanRunAnyMore() throws IOException {
+        OwnerWorld.Order order = runOne();
+        OwnerWorld next = mFormer.successor();
+        next.join("other", 8_000);
+        Duration end = OwnerWorld.SETTINGS.earlierOwnerEnd();
+        next.pass(end.minusMillis(100), "other");
+        assertThat(next.mStarts).isEmpty();
+        next.pass(Duration.ofMillis(200), "other");
+        assertThat(next.mStarts).hasSize(1);
+        assertThat(next.last().mRun()).isGreaterThan(order.mRun());
+    }
+
+    /** Guards against new jobs that wait for the VMs of the former owner. */
+    @Test
+    void newJobDoesNotWaitForUnreportedVms() throws IOException {
+        runOne();
+        OwnerWorld next = mFormer.successor();
+        next.join("other", 8_000);
+        next.submit("b", OwnerWorld.step(1, 1_000, StepTraits.BATCH));
+        next.store();
+        assertThat(next.mStarts).hasSize(1);
+    }
+
+    /** Guards against lost work after a loss of all processes, when workers have started anew. */
+    @Test
+    void inheritedTaskStartsAtOnceWhenItsWorkerIsNew() throws IOException {
+        runOne();
+        OwnerWorld next = mFormer.successor();
+        next.report("vm", OwnerWorld.worker("vm", 2, 8_000, false), List.of(), List.of(), false);
+        next.store();
+        assertThat(next.mStarts).hasSize(1);
+    }
+
+    /** Guards against a run that goes on after its job was cancelled under the former owner. */
+    @Test
+    void runOfACancelledJobIsStopped() throws IOException {
+        OwnerWorld.Order order = runOne();
+        mFormer.mOwner.cancel(order.mTask().job());
+        mFormer.store();
+        OwnerWorld next = mFormer.successor();
+        next.report(
+                "vm",
+                OwnerWorld.worker("vm", 1, 8_000, false),
+                List.of(row(order)),
+                List.of(),
+                false);
+        assertThat(next.mStops).hasSize(1);
+    }
+
+    /** Guards against a failure that counts again because the worker lists it to the new owner. */
+    @Test
+    void failureThatIsStoredDoesNotCountAgain() throws IOException {
+        OwnerWorld.Order order = runOne();
+        mFormer.end(order, EndKind.FAILED, "");
+        mFormer.store();
+        OwnerWorld next = mFormer.successor();
+        EndedTask end = new EndedTask(1, order.mTask(), order.mRun(), EndKind.FAILED, "");
+        next.report("vm", OwnerWorld.worker("vm", 1, 8_000, false), List.of(), List.of(end), false);
+        next.store();
+        assertThat(next.mOwner.find(order.mTask().job()).orElseThrow().state())
+                .isEqualTo(JobState.RUNNING);
+    }
+
+    /** Guards against a task that is kept on two VMs. */
+    @Test
+    void secondRunOfATaskIsStopped() throws IOException {
+        OwnerWorld.Order order = runOne();
+        OwnerWorld next = mFormer.successor();
+        next.report(
+                "vm",
+                OwnerWorld.worker("vm", 1, 8_000, false),
+                List.of(row(order)),
+                List.of(),
+                false);
+        next.report(
+                "other",
+                OwnerWorld.worker("other", 1, 8_000, false),
+                List.of(row(order)),
+                List.of(),
+                false);
+        assertThat(next.mStops).hasSize(1);
+        assertThat(next.mStops.getFirst().mVm()).isEqualTo(new DaemonId("other"));
+    }
+
+    /** Guards against giving up an order that a lost agent process may still have on its way. */
+    @Test
+    void orderOfARestartedAgentIsGivenUpOnlyWhenItCanNotStartAnyMore() {
+        runOne();
+        mFormer.report("vm", OwnerWorld.worker("vm", 1, 8_000, false), List.of(), List.of(), false);
+        mFormer.store();
+        assertThat(mFormer.mStarts).hasSize(1);
+        mFormer.pass(OwnerWorld.SETTINGS.orderSettling().plusMillis(1), "vm");
+        mFormer.mOwner.progress(
+                new DaemonId("vm"), OwnerWorld.worker("vm", 1, 0, false).id(), List.of());
+        mFormer.mOwner.schedule();
+        assertThat(mFormer.mStarts).hasSize(2);
+    }
+}
--- a/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
@@ -11,14 +11,14 @@
     static final int FULL = 100;
 
     /** Share of the objective from which on the pace is lowered. */
-    private static final double NEAR = 0.8;
+    private static final double NEAR = 0.9;
 
     /** Share of the objective up to which the pace is raised. */
-    private static final double AMPLE = 0.6;
+    private static final double AMPLE = 0.75;
 
-    private static final double BACK_OFF_MISSED = 0.35;
-    private static final double BACK_OFF_NEAR = 0.75;
-    private static final int RECOVERY = 12;
+    private static final double BACK_OFF_MISSED = 0.45;
+    private static final double BACK_OFF_NEAR = 0.85;
+    private static final int RECOVERY = 15;
 
     /** Pace below which fillers are halted: so slow a task only disturbs. */
     private static final int LOWEST = 8;
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -0,0 +1,114 @@
+package org.knapweedbank.node.link;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.JobState;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.StartOutcome;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.CallAnswer;
+import org.knapweedbank.node.CallRequest;
+
+/** Codec of the messages between processes. */
+class NodeCodecTest {
+    private static final WorkerId WORKER = new WorkerId("w", 7);
+    private static final TaskName TASK = TaskName.parse("5c0e7a21d94b36f8.0.1.17");
+    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
+    private static final JobId JOB = new JobId("5c0e7a21d94b36f8");
+
+    static Stream<NodeMessage> messages() {
+        WorkerInfo info =
+                new WorkerInfo(WORKER, "svc", new Resources(1, 2, 3), List.of("a", "r"), "r", true);
+        RunningTask running = new RunningTask(TASK, 2, "ck", 40, 120);
+        EndedTask ended = new EndedTask(3, TASK, 2, EndKind.BROKEN, "ck");
+        AgentReport report =
+                new AgentReport(
+                        Optional.of(info),
+                        true,
+                        List.of(running),
+                        List.of(running),
+                        List.of(ended));
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        new Resources(1, 2, 0),
+                        Duration.ofMillis(3),
+                        List.of(),
+                        StepTraits.BATCH,
+                        PlacementRule.ANYWHERE,
+                        "",
+                        Duration.ZERO,
+                        -1);
+        JobSubmission submission = new JobSubmission(JOB, "text", List.of(step), Timetable.ONCE);
+        return Stream.of(
+                new NodeMessage.AgentHello(new DaemonId("a"), 5, new DataCentreId("dc")),
+                new NodeMessage.EntryHello(new DaemonId("e")),
+                new NodeMessage.Welcome(9),
+                new NodeMessage.Redirect("host:1"),
+                new NodeMessage.Ping(1),
+                new NodeMessage.Pong(1),
+                new NodeMessage.Report(report),
+                new NodeMessage.Progress(WORKER, List.of(running)),
+                new NodeMessage.Ends(WORKER, List.of(ended)),
+                new NodeMessage.Outcome(TASK, 2, StartOutcome.REFUSED),
+                new NodeMessage.WorkerUpdate(info),
+                new NodeMessage.WorkerLost(WORKER, "why"),
+                new NodeMessage.Start(
+                        WORKER, 4, new StartOrder(TASK, 2, "s", "c", true, Duration.ofMillis(50))),
+                new NodeMessage.Stop(TASK, 2),
+                new NodeMessage.Describe(TASK, 2, true, Duration.ofMillis(50)),
+                new NodeMessage.EndsStored(8),
+                new NodeMessage.Call(1, new CallRequest.Submit(QUEUE, submission)),
+                new NodeMessage.Call(1, new CallRequest.Read(QUEUE, JOB)),
+                new NodeMessage.Call(1, new CallRequest.Cancel(QUEUE, JOB)),
+                new NodeMessage.Call(1, new CallRequest.Count(QUEUE)),
+                new NodeMessage.Reply(1, new CallAnswer.Accepted()),
+                new NodeMessage.Reply(1, new CallAnswer.Refused("why", true, Duration.ofMillis(5))),
+                new NodeMessage.Reply(1, new CallAnswer.OutcomeUnknown("why")),
+                new NodeMessage.Reply(1, new CallAnswer.NoSuchJob()),
+                new NodeMessage.Reply(1, new CallAnswer.State(JobState.FAILED)),
+                new NodeMessage.Reply(1, new CallAnswer.Pending(12)));
+    }
+
+    /** Guards against a field that is lost or swapped between two processes. */
+    @ParameterizedTest
+    @MethodSource("messages")
+    void messageSurvivesARoundTrip(NodeMessage message) throws IOException {
+        assertThat(NodeCodec.decode(NodeCodec.encode(message))).isEqualTo(message);
+    }
+
+    /** Guards against an exception that escapes on foreign bytes. */
+    @Test
+    void foreignBytesAreMalformed() {
+        for (int length = 0; length < 40; length++) {
+            byte[] bytes = new byte[length];
+            java.util.Arrays.fill(bytes, (byte) 0xc1);
+            assertThrows(IOException.class, () -> NodeCodec.decode(bytes));
+        }
+    }
+}
