Let fillers use what serving tasks leave, and keep the pace while none run

A VM without fillers had recovered to full pace, so the next fillers arrived as a burst. Change: 0.3 of serving reservations counts as spare; serving VMs are less preferred; the pace of a VM with serving tasks begins at 50% and only moves while fillers run.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -10,12 +10,12 @@
  * Chooses the VM for a task.
  *
  * <p>Serving tasks are packed, so that few VMs have something that fillers can disturb. Fillers go
- * where the most processor time is left over, and to VMs with serving tasks only for a fraction of
- * it. Other batch tasks are spread over the least reserved VMs.
+ * where the most processor time is left over, counting a part of what serving tasks reserve. Other
+ * batch tasks are spread over the least reserved VMs.
  */
 final class VmSelector {
-    /** Share of the spare processor time that a filler may count on beside serving tasks. */
-    private static final double SHARED_SPARE = 0.5;
+    /** Share of the processor time reserved by serving tasks that they leave to fillers. */
+    private static final double UNUSED_BY_SERVING = 0.3;
 
     /** Part of a filler's demand that has to be spare for it to be worth a start. */
     private static final double FILLER_DEMAND_PART = 0.9;
@@ -23,6 +23,9 @@
     /** As above, for a filler that has waited; it would rather be slow than not run. */
     private static final double IMPATIENT_DEMAND_PART = 0.35;
 
+    /** Weight of the serving tasks that a filler would disturb, against spare processor time. */
+    private static final double DISTURBANCE = 0.5;
+
     /** Added to a score when the VM is away from the data of the step. */
     private static final double AWAY_FROM_DATA = 0.5;
 
@@ -65,7 +68,7 @@
     }
 
     private static double usableSpare(Vm vm) {
-        return vm.mServingCpu > 0 ? vm.spareCpu() * SHARED_SPARE : vm.spareCpu();
+        return vm.spareCpu() + vm.mServingCpu * UNUSED_BY_SERVING;
     }
 
     private static double score(Task task, Vm vm) {
@@ -75,7 +78,7 @@
         if (spec.serving()) {
             score = vm.mFillerCpu / capacity - 2 * vm.mServingCpu / capacity;
         } else if (spec.traits().filler()) {
-            score = -usableSpare(vm) / capacity;
+            score = -usableSpare(vm) / capacity + DISTURBANCE * vm.mServingCpu / capacity;
         } else {
             score = vm.mReserved.milliCpu() / capacity;
         }
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -392,7 +392,8 @@
     private void paceFillers() {
         List<Double> loads = mRuns.runs().stream().map(Run::load).filter(l -> l > 0).toList();
         int before = mPacer.pace();
-        int pace = mPacer.next(loads);
+        long fillers = mRuns.runs().stream().filter(run -> run.mFiller && run.mStarted).count();
+        int pace = mPacer.next(loads, fillers);
         if (pace != before) {
             mLog.record("vm.pace", mWorker.id(), "pace", pace, "loads", loads);
         }
--- a/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
@@ -23,7 +23,11 @@
     /** Pace below which fillers are halted: so slow a task only disturbs. */
     private static final int LOWEST = 8;
 
+    /** Pace of the first fillers beside serving tasks, before their effect is known. */
+    private static final int FIRST = 50;
+
     private int mPace = FULL;
+    private boolean mServing;
 
     /** Present pace in percent. */
     int pace() {
@@ -31,13 +35,30 @@
     }
 
     /**
-     * Decides the next pace.
+     * Decides the next pace. Without fillers the latencies say nothing of their effect, so the pace
+     * stays where it was.
      *
      * @param loads latency divided by objective of each serving task at work
+     * @param fillers number of fillers that run
      * @return the pace in percent
      */
-    int next(Collection<Double> loads) {
-        double worst = loads.stream().mapToDouble(Double::doubleValue).max().orElse(0);
+    int next(Collection<Double> loads, long fillers) {
+        if (loads.isEmpty()) {
+            mServing = false;
+            mPace = FULL;
+            return mPace;
+        }
+        if (!mServing) {
+            mServing = true;
+            mPace = FIRST;
+        }
+        if (fillers > 0) {
+            adjust(loads.stream().mapToDouble(Double::doubleValue).max().orElse(0));
+        }
+        return mPace;
+    }
+
+    private void adjust(double worst) {
         if (worst > 1) {
             mPace = (int) (mPace * BACK_OFF_MISSED);
         } else if (worst > NEAR) {
@@ -48,6 +69,5 @@
         if (mPace < LOWEST && worst >= AMPLE) {
             mPace = 0;
         }
-        return mPace;
     }
 }
--- a/node/src/test/java/org/knapweedbank/node/agent/FillerPacerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FillerPacerTest.java
@@ -13,7 +13,7 @@
     @Test
     void fillersAreHaltedWhileTheObjectiveIsMissed() {
         for (int i = 0; i < 4; i++) {
-            mPacer.next(List.of(1.5));
+            mPacer.next(List.of(1.5), 2);
         }
         assertThat(mPacer.pace()).isAtMost(10);
     }
@@ -22,10 +22,10 @@
     @Test
     void paceRecoversWhenThereIsRoom() {
         for (int i = 0; i < 6; i++) {
-            mPacer.next(List.of(2.0));
+            mPacer.next(List.of(2.0), 2);
         }
         for (int i = 0; i < 10; i++) {
-            mPacer.next(List.of(0.4));
+            mPacer.next(List.of(0.4), 2);
         }
         assertThat(mPacer.pace()).isEqualTo(FillerPacer.FULL);
     }
@@ -33,6 +33,17 @@
     /** Guards against throwing batch work away without need. */
     @Test
     void fillersRunAtFullPaceWithoutServingTasks() {
-        assertThat(mPacer.next(List.of())).isEqualTo(FillerPacer.FULL);
+        assertThat(mPacer.next(List.of(), 2)).isEqualTo(FillerPacer.FULL);
+    }
+
+    /** Guards against a burst at full pace after a time without fillers. */
+    @Test
+    void paceStaysWhileThereAreNoFillers() {
+        mPacer.next(List.of(1.5), 1);
+        int before = mPacer.pace();
+        for (int i = 0; i < 10; i++) {
+            mPacer.next(List.of(0.2), 0);
+        }
+        assertThat(mPacer.pace()).isEqualTo(before);
     }
 }
