--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -0,0 +1,140 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.time.ManualClock;
+
+/** Election of the owner among entries. */
+class ElectionTest {
+    private static final Duration TTL = Duration.ofSeconds(3);
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final FakeStore mStore = new FakeStore(mTimers);
+
+    /** One entry that notes the outcome of elections. */
+    private final class Candidate implements ElectionListener {
+        private final List<Long> mWon = new ArrayList<>();
+        private final Election mElection;
+        private String mOwner = "";
+        private int mDeposed;
+        private long mConfirmed;
+
+        Candidate(String name, double strength) {
+            OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, TTL, TTL, TTL, 1);
+            EntrySettings settings =
+                    new EntrySettings(new DaemonId(name), 1, name, 1, strength, TTL, owner);
+            mElection = new Election(settings, mStore, mTimers, DecisionLog.NONE, this);
+            mElection.start();
+        }
+
+        @Override
+        public void elected(long term, long termRevision) {
+            mWon.add(term);
+            assertThat(mStore.item(StoreKeys.TERM).revision()).isEqualTo(termRevision);
+        }
+
+        @Override
+        public void confirmed(long term) {
+            mConfirmed = term;
+        }
+
+        @Override
+        public void deposed(long newest) {
+            mDeposed++;
+        }
+
+        @Override
+        public void ownerAt(String address) {
+            mOwner = address;
+        }
+    }
+
+    private void pass(int seconds) {
+        mTimers.pass(Duration.ofSeconds(seconds));
+    }
+
+    /** Guards against two owners of one term. */
+    @Test
+    void oneOfSeveralIsElected() {
+        Candidate first = new Candidate("a", 1);
+        Candidate second = new Candidate("b", 1);
+        pass(3);
+        assertThat(first.mWon.size() + second.mWon.size()).isEqualTo(1);
+        assertThat(first.mOwner + second.mOwner).isNotEmpty();
+    }
+
+    /** Guards against a deployment without an owner after its loss. */
+    @Test
+    void resignedOwnerIsFollowedByALaterTerm() {
+        Candidate first = new Candidate("a", 1);
+        pass(3);
+        Candidate second = new Candidate("b", 1);
+        pass(3);
+        assertThat(second.mWon).isEmpty();
+        first.mElection.resign(() -> {});
+        pass(3);
+        assertThat(second.mWon).containsExactly(2L);
+        assertThat(first.mWon).containsExactly(1L);
+    }
+
+    /** Guards against a change of owner for nothing when only the owner's key was taken away. */
+    @Test
+    void ownerWhoseKeyWasTakenAwayPutsItBackInItsTerm() {
+        Candidate only = new Candidate("a", 1);
+        pass(3);
+        mStore.revokeKeys();
+        pass(4);
+        assertThat(only.mWon).containsExactly(1L);
+        assertThat(only.mDeposed).isEqualTo(0);
+        assertThat(mStore.item(StoreKeys.OWNER)).isNotNull();
+    }
+
+    /** Guards against an entry that stays out after its lease ended while the store was away. */
+    @Test
+    void entryIsBackAfterItsLeaseEnded() {
+        Candidate only = new Candidate("a", 1);
+        pass(3);
+        mStore.mAway = true;
+        pass(4);
+        mStore.expireLeases();
+        mStore.mAway = false;
+        pass(3);
+        assertThat(mStore.items(StoreKeys.ENTRIES)).hasSize(1);
+        assertThat(only.mConfirmed).isAtLeast(1);
+    }
+
+    /** Guards against an entry that has won without knowing it. */
+    @Test
+    void electionWithALostAnswerIsNoticed() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.REFUSED);
+        mStore.mWriteFaults.add(FakeStore.WriteFault.ANSWER_LOST);
+        Candidate only = new Candidate("a", 1);
+        pass(5);
+        assertThat(only.mWon).hasSize(1);
+        assertThat(only.mWon.getLast()).isAtLeast(1);
+        assertThat(only.mConfirmed).isEqualTo(only.mWon.getLast());
+    }
+
+    /** Guards against an owner on a weak VM while a strong one is there. */
+    @Test
+    void strongestEntryHasAHeadStart() {
+        Candidate owner = new Candidate("o", 9);
+        pass(3);
+        Candidate weak = new Candidate("a", 0.2);
+        Candidate strong = new Candidate("b", 1.5);
+        pass(3);
+        owner.mElection.leave(() -> {});
+        pass(3);
+        assertThat(strong.mWon).hasSize(1);
+        assertThat(weak.mWon).isEmpty();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
@@ -0,0 +1,205 @@
+package org.knapweedbank.node.entry;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.store.CoordinationStore;
+import org.knapweedbank.node.store.LeaseOutcome;
+import org.knapweedbank.node.store.ReadOutcome;
+import org.knapweedbank.node.store.StoreChange;
+import org.knapweedbank.node.store.StoreEvent;
+import org.knapweedbank.node.store.StoreItem;
+import org.knapweedbank.node.store.WatchOutcome;
+import org.knapweedbank.node.store.WriteOutcome;
+
+/** Store in memory with the faults of the real one. */
+final class FakeStore implements CoordinationStore {
+    private static final Duration ANSWER = Duration.ofMillis(4);
+
+    private final ManualTimers mTimers;
+    private final TreeMap<String, StoreItem> mItems = new TreeMap<>();
+    private final Map<String, Long> mLeases = new TreeMap<>();
+    private final Set<Long> mOpenLeases = new HashSet<>();
+    private final List<StoreEvent> mHistory = new ArrayList<>();
+    private long mRevision = 10;
+    private long mNextLease = 1_000;
+
+    /** Faults of the next writes, in order; a write without one succeeds. */
+    final Deque<WriteFault> mWriteFaults = new ArrayDeque<>();
+
+    /** True while all calls are refused. */
+    boolean mAway;
+
+    int mWrites;
+
+    /** What happens to a write. */
+    enum WriteFault {
+        /** Refused; nothing is done. */
+        REFUSED,
+        /** Done, but the answer is lost. */
+        ANSWER_LOST,
+        /** No answer; done seconds later if its conditions still hold. */
+        DONE_LATE
+    }
+
+    FakeStore(ManualTimers timers) {
+        mTimers = timers;
+    }
+
+    @Override
+    public void read(String prefix, boolean stale, Consumer<ReadOutcome> done) {
+        mTimers.after(
+                ANSWER,
+                () ->
+                        done.accept(
+                                mAway
+                                        ? new ReadOutcome.Unavailable("away")
+                                        : new ReadOutcome.Items(items(prefix), mRevision)));
+    }
+
+    @Override
+    public void watch(String prefix, long after, Duration wait, Consumer<WatchOutcome> done) {
+        mTimers.after(
+                wait,
+                () -> {
+                    if (mAway) {
+                        done.accept(new WatchOutcome.Unavailable("away"));
+                        return;
+                    }
+                    List<StoreEvent> events =
+                            mHistory.stream()
+                                    .filter(e -> e.revision() > after)
+                                    .filter(e -> e.key().startsWith(prefix))
+                                    .toList();
+                    done.accept(new WatchOutcome.Events(events, mRevision));
+                });
+    }
+
+    @Override
+    public void write(StoreChange change, Consumer<WriteOutcome> done) {
+        mWrites++;
+        WriteFault fault = mWriteFaults.poll();
+        if (mAway || fault == WriteFault.REFUSED) {
+            mTimers.after(ANSWER, () -> done.accept(new WriteOutcome.NotDone("away")));
+        } else if (fault == WriteFault.ANSWER_LOST) {
+            apply(change);
+            mTimers.after(ANSWER, () -> done.accept(new WriteOutcome.Unknown("lost")));
+        } else if (fault == WriteFault.DONE_LATE) {
+            mTimers.after(Duration.ofSeconds(3), () -> apply(change));
+            mTimers.after(ANSWER, () -> done.accept(new WriteOutcome.Unknown("late")));
+        } else {
+            mTimers.after(ANSWER, () -> done.accept(apply(change)));
+        }
+    }
+
+    @Override
+    public void openLease(Duration ttl, Consumer<LeaseOutcome> done) {
+        mTimers.after(
+                ANSWER,
+                () -> {
+                    if (mAway) {
+                        done.accept(new LeaseOutcome.Unavailable("away"));
+                        return;
+                    }
+                    mOpenLeases.add(++mNextLease);
+                    done.accept(new LeaseOutcome.Held(mNextLease));
+                });
+    }
+
+    @Override
+    public void renewLease(long lease, Consumer<LeaseOutcome> done) {
+        mTimers.after(
+                ANSWER,
+                () -> {
+                    if (mAway) {
+                        done.accept(new LeaseOutcome.Unavailable("away"));
+                    } else if (mOpenLeases.contains(lease)) {
+                        done.accept(new LeaseOutcome.Held(lease));
+                    } else {
+                        done.accept(new LeaseOutcome.Ended());
+                    }
+                });
+    }
+
+    @Override
+    public void endLease(long lease, Consumer<LeaseOutcome> done) {
+        expire(lease);
+        mTimers.after(ANSWER, () -> done.accept(new LeaseOutcome.Ended()));
+    }
+
+    /** Ends all leases and removes their keys. */
+    void expireLeases() {
+        List.copyOf(mOpenLeases).forEach(this::expire);
+    }
+
+    /** Removes the keys of all leases, while the leases seem to live on. */
+    void revokeKeys() {
+        List.copyOf(mLeases.keySet()).forEach(this::remove);
+    }
+
+    StoreItem item(String key) {
+        return mItems.get(key);
+    }
+
+    List<StoreItem> items(String prefix) {
+        return mItems.values().stream().filter(i -> i.key().startsWith(prefix)).toList();
+    }
+
+    WriteOutcome apply(StoreChange change) {
+        boolean holds =
+                change.expected().entrySet().stream()
+                        .allMatch(e -> revision(e.getKey()) == e.getValue());
+        if (!holds) {
+            return new WriteOutcome.Conflict(
+                    change.expected().keySet().stream()
+                            .filter(mItems::containsKey)
+                            .map(mItems::get)
+                            .toList());
+        }
+        boolean leased =
+                change.puts().stream()
+                        .allMatch(p -> p.lease() == 0 || mOpenLeases.contains(p.lease()));
+        if (!leased) {
+            return new WriteOutcome.LeaseEnded();
+        }
+        mRevision++;
+        change.puts().forEach(this::put);
+        change.removals().forEach(this::remove);
+        return new WriteOutcome.Written(mRevision);
+    }
+
+    private void put(StoreChange.Put put) {
+        mItems.put(put.key(), new StoreItem(put.key(), put.value(), mRevision));
+        mHistory.add(new StoreEvent(put.key(), put.value(), mRevision));
+        if (put.lease() != 0) {
+            mLeases.put(put.key(), put.lease());
+        }
+    }
+
+    private void remove(String key) {
+        if (mItems.remove(key) != null) {
+            mLeases.remove(key);
+            mHistory.add(new StoreEvent(key, null, ++mRevision));
+        }
+    }
+
+    private void expire(long lease) {
+        mOpenLeases.remove(lease);
+        Map.copyOf(mLeases).entrySet().stream()
+                .filter(e -> e.getValue() == lease)
+                .forEach(e -> remove(e.getKey()));
+    }
+
+    private long revision(String key) {
+        StoreItem item = mItems.get(key);
+        return item == null ? 0 : item.revision();
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -0,0 +1,186 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.JobQueue;
+import org.knapweedbank.jobs.JobState;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.owner.Job;
+import org.knapweedbank.jobs.owner.JobOwner;
+import org.knapweedbank.jobs.owner.OwnerOutput;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SubmitResult;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.store.StoreChange;
+import org.knapweedbank.time.ManualClock;
+
+/** Writing of records to a store that refuses, loses answers and does things late. */
+class RecordWriterTest {
+    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
+    private static final OwnerSettings SETTINGS =
+            new OwnerSettings(
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(1),
+                    Duration.ofSeconds(3),
+                    Duration.ofSeconds(4),
+                    Duration.ofSeconds(150),
+                    1);
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final FakeStore mStore = new FakeStore(mTimers);
+    private JobOwner mOwner;
+    private RecordWriter mWriter;
+    private boolean mDeposed;
+
+    @BeforeEach
+    void elect() throws IOException {
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'1'}, 0));
+        mOwner =
+                new JobOwner(
+                        SETTINGS,
+                        mClock,
+                        new NoOrders(),
+                        DecisionLog.NONE,
+                        1,
+                        JobOwner.vmList(new byte[0], 0));
+        mOwner.configure(
+                List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, Duration.ZERO, Duration.ZERO)));
+        mWriter =
+                new RecordWriter(
+                        mOwner,
+                        mStore,
+                        mTimers,
+                        mClock,
+                        DecisionLog.NONE,
+                        mStore.item(StoreKeys.TERM).revision(),
+                        new Outcomes());
+    }
+
+    private final class Outcomes implements RecordWriter.Listener {
+        @Override
+        public void written() {}
+
+        @Override
+        public void failing() {}
+
+        @Override
+        public void deposed() {
+            mDeposed = true;
+        }
+    }
+
+    private static final class NoOrders implements OwnerOutput {
+        @Override
+        public void start(DaemonId agent, StartOrder order) {}
+
+        @Override
+        public void stop(DaemonId agent, TaskName task, long run) {}
+
+        @Override
+        public void describe(DaemonId agent, TaskName task, long run, StepSpec step) {}
+
+        @Override
+        public void acknowledgeEnds(DaemonId agent, long number) {}
+    }
+
+    private Job submit(String id) {
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        new Resources(1, 1, 0),
+                        Duration.ZERO,
+                        List.of(),
+                        StepTraits.BATCH,
+                        PlacementRule.ANYWHERE,
+                        "",
+                        Duration.ZERO,
+                        -1);
+        JobSubmission submission =
+                new JobSubmission(new JobId(id), "", List.of(step), Timetable.ONCE);
+        Job job = ((SubmitResult.Known) mOwner.submit(submission, QUEUE)).job();
+        mWriter.pump();
+        return job;
+    }
+
+    /** Guards against a write for each job under load: the store's rate is shared by all. */
+    @Test
+    void recordsThatGatherGoTogether() {
+        for (int i = 0; i < 10; i++) {
+            submit("job" + i);
+        }
+        mTimers.pass(Duration.ofSeconds(1));
+        assertThat(mStore.items(StoreKeys.JOBS)).hasSize(10);
+        assertThat(mStore.mWrites).isAtMost(2);
+    }
+
+    /** Guards against a job that is accepted twice, lost or left unresolved after any fault. */
+    @ParameterizedTest
+    @EnumSource(FakeStore.WriteFault.class)
+    void writeIsRepeatedUntilItIsKnownToBeDone(FakeStore.WriteFault fault) {
+        mStore.mWriteFaults.add(fault);
+        Job job = submit("a");
+        mTimers.pass(Duration.ofSeconds(5));
+        assertThat(job.storedVersion()).isEqualTo(job.version());
+        assertThat(job.revision()).isEqualTo(mStore.item(StoreKeys.job(job.id())).revision());
+        assertThat(mDeposed).isFalse();
+    }
+
+    /** Guards against an older record that overwrites a newer one when it is made late. */
+    @Test
+    void lateWriteDoesNotOverwriteANewerRecord() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.DONE_LATE);
+        Job job = submit("a");
+        mTimers.pass(Duration.ofMillis(500));
+        mOwner.cancel(job.id());
+        mWriter.pump();
+        mTimers.pass(Duration.ofMillis(500));
+        assertThat(job.state()).isEqualTo(JobState.CANCELLED);
+        long revision = mStore.item(StoreKeys.job(job.id())).revision();
+        mTimers.pass(Duration.ofSeconds(5));
+        assertThat(mStore.item(StoreKeys.job(job.id())).revision()).isEqualTo(revision);
+    }
+
+    /** Guards against writes of an owner that has been replaced. */
+    @Test
+    void writeUnderAnOldTermDeposesTheOwner() {
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'2'}, 0));
+        Job job = submit("a");
+        mTimers.pass(Duration.ofSeconds(1));
+        assertThat(mDeposed).isTrue();
+        assertThat(job.storedVersion()).isEqualTo(0);
+        assertThat(mStore.items(StoreKeys.JOBS)).isEmpty();
+    }
+
+    /** Guards against a false "not accepted" while a write without an answer may still be made. */
+    @Test
+    void jobOfAnUnansweredWriteIsUncertainUntilItIsResolved() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.DONE_LATE);
+        mStore.mWriteFaults.add(FakeStore.WriteFault.REFUSED);
+        Job job = submit("a");
+        mTimers.pass(Duration.ofMillis(50));
+        assertThat(mWriter.uncertain(job)).isTrue();
+        mTimers.pass(Duration.ofSeconds(1));
+        assertThat(mWriter.uncertain(job)).isFalse();
+        assertThat(job.storedVersion()).isGreaterThan(0);
+    }
+}
