Steer the pace of fillers by the utilization behind a tail latency

Ruled out: noise of the figures; equal tasks of one image show equal figures. Change: the pacer corrects in proportion to the distance from a utilization of 0.78.

--- a/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
@@ -3,35 +3,41 @@
 import java.util.Collection;
 
 /**
- * Chooses the pace of the fillers of one VM from the tail latencies of its serving tasks. The
- * latencies are those of the last half second, so one call decides one step: back off by a factor
- * while an objective is missed or near, recover slowly while all are met with room.
+ * Chooses the pace of the fillers of one VM from the tail latencies of its serving tasks.
+ *
+ * <p>A tail latency grows like that of a queue, with the inverse of the idle share, so a step that
+ * is harmless at half the objective is a multiple of it near saturation. The controller therefore
+ * works on the utilization that a latency stands for: it corrects the pace in proportion to the
+ * distance from a utilization that leaves room for a rise of load within the half second that the
+ * figures are old.
  */
 final class FillerPacer {
     static final int FULL = 100;
 
-    /** Share of the objective from which on the pace is lowered. */
-    private static final double NEAR = 0.9;
+    /** Latency of an idle serving task as a share of its objective. */
+    private static final double IDLE_LOAD = 0.2;
 
-    /** Share of the objective up to which the pace is raised. */
-    private static final double AMPLE = 0.75;
+    /** Utilization of the worst serving task that the controller steers to. */
+    private static final double TARGET = 0.78;
 
-    private static final double BACK_OFF_MISSED = 0.45;
-    private static final double BACK_OFF_NEAR = 0.85;
-    private static final int RECOVERY = 15;
+    /** Relative change of the pace for each unit of utilization above the target. */
+    private static final double BACK_OFF = 4.0;
 
-    /** Pace below which fillers are halted: so slow a task only disturbs. */
-    private static final int LOWEST = 8;
+    /** Change of the pace in percent for each unit of utilization below the target. */
+    private static final double RECOVERY = 120;
 
     /** Pace of the first fillers beside serving tasks, before their effect is known. */
-    private static final int FIRST = 50;
+    private static final int FIRST = 40;
 
-    private int mPace = FULL;
+    /** Lowest pace that recovers; below it fillers are halted until there is room. */
+    private static final int LOWEST = 5;
+
+    private double mPace = FULL;
     private boolean mServing;
 
     /** Present pace in percent. */
     int pace() {
-        return mPace;
+        return mPace < LOWEST ? 0 : (int) mPace;
     }
 
     /**
@@ -46,28 +52,22 @@
         if (loads.isEmpty()) {
             mServing = false;
             mPace = FULL;
-            return mPace;
-        }
-        if (!mServing) {
+        } else if (!mServing) {
             mServing = true;
             mPace = FIRST;
-        }
-        if (fillers > 0) {
+        } else if (fillers > 0) {
             adjust(loads.stream().mapToDouble(Double::doubleValue).max().orElse(0));
         }
-        return mPace;
+        return pace();
     }
 
     private void adjust(double worst) {
-        if (worst > 1) {
-            mPace = (int) (mPace * BACK_OFF_MISSED);
-        } else if (worst > NEAR) {
-            mPace = (int) (mPace * BACK_OFF_NEAR);
-        } else if (worst < AMPLE) {
-            mPace = Math.min(FULL, mPace + RECOVERY);
-        }
-        if (mPace < LOWEST && worst >= AMPLE) {
-            mPace = 0;
+        double utilization = 1 - IDLE_LOAD / Math.max(IDLE_LOAD, worst);
+        double excess = utilization - TARGET;
+        if (excess > 0) {
+            mPace *= Math.max(0, 1 - BACK_OFF * excess);
+        } else {
+            mPace = Math.min(FULL, mPace - RECOVERY * excess);
         }
     }
 }
