--- a/jobs/src/main/java/org/knapweedbank/jobs/StartOrder.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/StartOrder.java
@@ -9,7 +9,8 @@
  * @param run number of the run, higher than that of each earlier run of the task
  * @param spec opaque text of the job
  * @param checkpoint checkpoint to resume from, empty if none
- * @param filler true if the task may be paced down for the sake of serving tasks
+ * @param pressure expected rise of utilization that a filler causes for the serving tasks of its VM
+ *     at full pace; 0 if the task is not a filler and must not be paced
  * @param latencyObjective bound on the tail latency of a serving task, zero if none
  */
 public record StartOrder(
@@ -17,5 +18,5 @@
         long run,
         String spec,
         String checkpoint,
-        boolean filler,
+        double pressure,
         Duration latencyObjective) {}
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -226,14 +226,14 @@
         return attempt;
     }
 
-    private static StartOrder order(Task task, Attempt attempt) {
+    private StartOrder order(Task task, Attempt attempt) {
         var spec = task.mStep.mSpec;
         return new StartOrder(
                 task.mName,
                 attempt.mRun,
                 task.mStep.mJob.submission().spec(),
                 task.mCheckpoint,
-                spec.traits().filler(),
+                mState.pressure(attempt),
                 spec.latencyObjective());
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerOutput.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerOutput.java
@@ -1,7 +1,7 @@
 package org.knapweedbank.jobs.owner;
 
+import java.time.Duration;
 import org.knapweedbank.jobs.StartOrder;
-import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.model.DaemonId;
 
@@ -30,9 +30,11 @@
      * @param agent the agent of the VM
      * @param task the task
      * @param run the run
-     * @param step the step of the task
+     * @param pressure as in {@link StartOrder#pressure}
+     * @param latencyObjective as in {@link StartOrder#latencyObjective}
      */
-    void describe(DaemonId agent, TaskName task, long run, StepSpec step);
+    void describe(
+            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective);
 
     /**
      * Acknowledges ends, which the worker may then forget.
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -15,6 +15,9 @@
 
 /** What the parts of the owner share. */
 final class OwnerState {
+    /** Marks a filler whose image does not disturb as one that may be paced all the same. */
+    private static final double LEAST_PRESSURE = 0.005;
+
     final OwnerSettings mSettings;
     final Clock mClock;
     final OwnerOutput mOutput;
@@ -24,6 +27,7 @@
     final long mTerm;
 
     final long mTakenOverAt;
+    final PressureEstimator mPressure = new PressureEstimator();
     final Map<JobId, Job> mJobs = new LinkedHashMap<>();
     final Map<DaemonId, Vm> mVms = new HashMap<>();
     Map<QueueKey, JobQueue> mQueues = Map.of();
@@ -65,6 +69,15 @@
         return known ? step.mTasks.get(name.index()) : null;
     }
 
+    /** Expected rise of utilization that a run causes on its VM; 0 if it is no filler. */
+    double pressure(Attempt attempt) {
+        var spec = attempt.mTask.mStep.mSpec;
+        if (!spec.traits().filler()) {
+            return 0;
+        }
+        return Math.max(LEAST_PRESSURE, mPressure.rise(spec, attempt.mVm));
+    }
+
     /** Tells whether the store has confirmed the ownership recently enough to act on it. */
     boolean confirmed() {
         return now() - mConfirmedAt <= mSettings.renewalAuthority().toMillis();
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -96,7 +96,7 @@
             if (!task.waiting() || mState.now() < task.mNotBefore) {
                 continue;
             }
-            Optional<Vm> vm = VmSelector.select(task, vms, patient(step.mJob));
+            Optional<Vm> vm = VmSelector.select(task, vms, patient(step.mJob), mState.mPressure);
             if (vm.isEmpty()) {
                 return;
             }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -38,6 +38,10 @@
 
     long mLastEnd;
     long mAcknowledged;
+
+    /** Newest figures of the VM; null before the first. */
+    PressureEstimator.Sample mSample;
+
     Resources mReserved = Resources.NONE;
     long mFillerCpu;
     long mServingCpu;
@@ -60,6 +64,7 @@
         mLastEnd = 0;
         mAcknowledged = 0;
         mHealth.succeeded();
+        mSample = null;
     }
 
     Resources free() {
@@ -71,6 +76,16 @@
         return mWorker.capacity().milliCpu() - mReserved.milliCpu() - mFillerCpu;
     }
 
+    /** Highest utilization among the serving tasks, 0 if there is none. */
+    double servingUtilization() {
+        return mSample == null
+                ? 0
+                : mSample.utilization().values().stream()
+                        .mapToDouble(Double::doubleValue)
+                        .max()
+                        .orElse(0);
+    }
+
     void add(Attempt attempt) {
         mAttempts.put(attempt.mTask.mName, attempt);
         account(attempt, 1);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -23,8 +23,17 @@
     /** As above, for a filler that has waited; it would rather be slow than not run. */
     private static final double IMPATIENT_DEMAND_PART = 0.35;
 
-    /** Weight of the serving tasks that a filler would disturb, against spare processor time. */
-    private static final double DISTURBANCE = 0.5;
+    /** Weight of the disturbance of serving tasks, against spare processor time. */
+    private static final double DISTURBANCE = 4;
+
+    /** Utilization of a serving task up to which its latency stays well within its objective. */
+    private static final double ALLOWED_UTILIZATION = 0.7;
+
+    /** Disturbance that a filler may cause while it can still wait for a better VM. */
+    private static final double PATIENT_DISTURBANCE = 0.05;
+
+    /** As above, for a filler that has waited; the agent paces what is too much. */
+    private static final double IMPATIENT_DISTURBANCE = 0.3;
 
     /** Added to a score when the VM is away from the data of the step. */
     private static final double AWAY_FROM_DATA = 0.5;
@@ -39,18 +48,20 @@
      *
      * @param task the task
      * @param vms VMs that accept tasks of its service
+     * @param pressure how much fillers disturb serving tasks
      * @param patient true if a filler may still wait for a VM with its whole demand to spare
      * @return the best VM with room, empty if there is none
      */
-    static Optional<Vm> select(Task task, Collection<Vm> vms, boolean patient) {
+    static Optional<Vm> select(
+            Task task, Collection<Vm> vms, boolean patient, PressureEstimator pressure) {
         return vms.stream()
-                .filter(vm -> allowed(task.mStep, vm, patient))
+                .filter(vm -> allowed(task.mStep, vm, patient, pressure))
                 .min(
-                        Comparator.<Vm>comparingDouble(vm -> score(task, vm))
+                        Comparator.<Vm>comparingDouble(vm -> score(task, vm, pressure))
                                 .thenComparing(vm -> vm.mAgent.value()));
     }
 
-    private static boolean allowed(Step step, Vm vm, boolean patient) {
+    private static boolean allowed(Step step, Vm vm, boolean patient, PressureEstimator pressure) {
         StepSpec spec = step.mSpec;
         PlacementRule rule = spec.placement();
         boolean labelled =
@@ -59,26 +70,41 @@
         return labelled
                 && spec.reservation().fitsIn(vm.free())
                 && (rule.maxPerVm() == 0 || vm.attemptsOf(step) < rule.maxPerVm())
-                && (!spec.traits().filler() || worthFilling(spec, vm, patient));
+                && (!spec.traits().filler() || worthFilling(spec, vm, patient, pressure));
     }
 
-    private static boolean worthFilling(StepSpec spec, Vm vm, boolean patient) {
+    private static boolean worthFilling(
+            StepSpec spec, Vm vm, boolean patient, PressureEstimator pressure) {
         double part = patient ? FILLER_DEMAND_PART : IMPATIENT_DEMAND_PART;
-        return usableSpare(vm) >= spec.perTask().milliCpu() * part;
+        double limit = patient ? PATIENT_DISTURBANCE : IMPATIENT_DISTURBANCE;
+        return usableSpare(vm) >= spec.perTask().milliCpu() * part
+                && disturbance(spec, vm, pressure) <= limit;
+    }
+
+    /**
+     * Utilization by which the worst serving task of the VM would exceed what its objective allows;
+     * negative if it stays below.
+     */
+    private static double disturbance(StepSpec spec, Vm vm, PressureEstimator pressure) {
+        if (vm.mServingCpu == 0) {
+            return 0;
+        }
+        double expected = vm.servingUtilization() + pressure.rise(spec, vm);
+        return Math.max(0, expected - ALLOWED_UTILIZATION);
     }
 
     private static double usableSpare(Vm vm) {
         return vm.spareCpu() + vm.mServingCpu * UNUSED_BY_SERVING;
     }
 
-    private static double score(Task task, Vm vm) {
+    private static double score(Task task, Vm vm, PressureEstimator pressure) {
         StepSpec spec = task.mStep.mSpec;
         double capacity = Math.max(1, vm.mWorker.capacity().milliCpu());
         double score;
         if (spec.serving()) {
             score = vm.mFillerCpu / capacity - 2 * vm.mServingCpu / capacity;
         } else if (spec.traits().filler()) {
-            score = -usableSpare(vm) / capacity + DISTURBANCE * vm.mServingCpu / capacity;
+            score = -usableSpare(vm) / capacity + DISTURBANCE * disturbance(spec, vm, pressure);
         } else {
             score = vm.mReserved.milliCpu() / capacity;
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -15,6 +15,9 @@
 
 /** Follows the VMs: which worker lives where, what it runs, and what may still run out of reach. */
 final class VmTracker {
+    /** Percentage at which a long-running task is at work. */
+    private static final int AT_WORK = 100;
+
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
     private final VmList mList;
@@ -69,6 +72,7 @@
             return;
         }
         running.forEach(row -> reconcile(vm, row, true));
+        sample(vm, running);
         Set<TaskName> listed = new HashSet<>();
         running.forEach(row -> listed.add(row.task()));
         vm.mForeign.retainAll(listed);
@@ -210,6 +214,31 @@
         }
     }
 
+    /** Learns from the figures of a VM. */
+    private void sample(Vm vm, List<RunningTask> running) {
+        Map<String, Double> utilization = new HashMap<>();
+        Map<String, Double> use = new HashMap<>();
+        double capacity = Math.max(1, vm.mWorker.capacity().milliCpu());
+        for (RunningTask row : running) {
+            Task task = mState.task(row.task());
+            if (task == null) {
+                continue;
+            }
+            var spec = task.mStep.mSpec;
+            if (spec.serving() && row.percent() == AT_WORK) {
+                double load = (double) row.figure() / spec.latencyObjective().toMillis();
+                utilization.put(row.task().toString(), PressureEstimator.utilization(load));
+            } else if (spec.traits().filler()) {
+                use.merge(spec.image(), row.figure() / capacity, Double::sum);
+            }
+        }
+        PressureEstimator.Sample sample = new PressureEstimator.Sample(utilization, use);
+        if (vm.mSample != null) {
+            mState.mPressure.observe(vm.mSample, sample);
+        }
+        vm.mSample = sample;
+    }
+
     private void follow(Attempt attempt, RunningTask row) {
         if (row.percent() != attempt.mPercent || row.figure() > 0) {
             attempt.mProgressAt = mState.now();
@@ -221,7 +250,12 @@
     private void describe(Attempt attempt) {
         var spec = attempt.mTask.mStep.mSpec;
         if (spec.traits().filler() || spec.serving()) {
-            mState.mOutput.describe(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun, spec);
+            mState.mOutput.describe(
+                    attempt.mVm.mAgent,
+                    attempt.mTask.mName,
+                    attempt.mRun,
+                    mState.pressure(attempt),
+                    spec.latencyObjective());
         }
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
@@ -191,7 +191,8 @@
     }
 
     @Override
-    public void describe(DaemonId agent, TaskName task, long run, StepSpec step) {}
+    public void describe(
+            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective) {}
 
     @Override
     public void acknowledgeEnds(DaemonId agent, long number) {
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -325,9 +325,7 @@
             case StartReply.Started ignored -> {
                 run.started(mClock.monotonicMillis());
                 outcome(order, StartOutcome.STARTED, "");
-                if (run.mFiller && mPacer.pace() != FillerPacer.FULL) {
-                    pace(run, mPacer.pace());
-                }
+                applyPace();
             }
             case StartReply.Refused refused -> {
                 boolean full =
@@ -377,7 +375,7 @@
     private void describe(NodeMessage.Describe message) {
         Run run = mRuns.find(message.task(), message.run());
         if (run != null) {
-            run.mFiller = message.filler();
+            run.mPressure = message.pressure();
             run.mObjective = message.latencyObjective();
         }
     }
@@ -391,14 +389,22 @@
 
     private void paceFillers() {
         List<Double> loads = mRuns.runs().stream().map(Run::load).filter(l -> l > 0).toList();
-        int before = mPacer.pace();
-        long fillers = mRuns.runs().stream().filter(run -> run.mFiller && run.mStarted).count();
-        int pace = mPacer.next(loads, fillers);
-        if (pace != before) {
-            mLog.record("vm.pace", mWorker.id(), "pace", pace, "loads", loads);
-        }
+        mPacer.observe(loads, pressure());
+        applyPace();
+    }
+
+    /** Rise of utilization that the running fillers would cause at full pace. */
+    private double pressure() {
+        return mRuns.runs().stream()
+                .filter(run -> run.mStarted)
+                .mapToDouble(run -> run.mPressure)
+                .sum();
+    }
+
+    private void applyPace() {
+        int pace = mPacer.pace(pressure());
         mRuns.runs().stream()
-                .filter(run -> run.mFiller && run.mStarted && run.mPace != pace)
+                .filter(run -> run.mStarted && run.mPressure > 0 && run.mPace != pace)
                 .forEach(run -> pace(run, pace));
     }
 
--- a/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
@@ -5,11 +5,12 @@
 /**
  * Chooses the pace of the fillers of one VM from the tail latencies of its serving tasks.
  *
- * <p>A tail latency grows like that of a queue, with the inverse of the idle share, so a step that
- * is harmless at half the objective is a multiple of it near saturation. The controller therefore
- * works on the utilization that a latency stands for: it corrects the pace in proportion to the
- * distance from a utilization that leaves room for a rise of load within the half second that the
- * figures are old.
+ * <p>A tail latency grows like that of a queue, with the inverse of the idle share, so what is
+ * harmless at half the objective is a multiple of it near saturation. The controller therefore
+ * works on the utilization that a latency stands for. It keeps a budget: by how much all fillers
+ * together may raise that utilization. Fillers that come or go share the budget at once; the budget
+ * itself follows the distance from a target that leaves room for the half second that figures are
+ * old.
  */
 final class FillerPacer {
     static final int FULL = 100;
@@ -18,56 +19,60 @@
     private static final double IDLE_LOAD = 0.2;
 
     /** Utilization of the worst serving task that the controller steers to. */
-    private static final double TARGET = 0.78;
+    private static final double TARGET = 0.74;
 
-    /** Relative change of the pace for each unit of utilization above the target. */
-    private static final double BACK_OFF = 4.0;
+    /** Share of the room below the target by which the budget grows in one step. */
+    private static final double RECOVERY = 0.5;
 
-    /** Change of the pace in percent for each unit of utilization below the target. */
-    private static final double RECOVERY = 120;
+    /** Budget of the first fillers beside serving tasks, before their effect is known. */
+    private static final double FIRST_BUDGET = 0.2;
 
-    /** Pace of the first fillers beside serving tasks, before their effect is known. */
-    private static final int FIRST = 40;
+    /** Decisions in a row with a missed objective after which fillers are halted. */
+    private static final int LONGEST_MISS = 3;
 
-    /** Lowest pace that recovers; below it fillers are halted until there is room. */
-    private static final int LOWEST = 5;
-
-    private double mPace = FULL;
+    private double mBudget = FIRST_BUDGET;
+    private int mMissed;
     private boolean mServing;
 
-    /** Present pace in percent. */
-    int pace() {
-        return mPace < LOWEST ? 0 : (int) mPace;
+    /**
+     * Takes the newest latencies. Without fillers they say nothing of their effect, so the budget
+     * stays as it is.
+     *
+     * @param loads latency divided by objective of each serving task at work
+     * @param pressure rise of utilization that the running fillers would cause at full pace
+     */
+    void observe(Collection<Double> loads, double pressure) {
+        mServing = !loads.isEmpty();
+        if (!mServing) {
+            mBudget = FIRST_BUDGET;
+            mMissed = 0;
+        } else if (pressure > 0) {
+            adjust(loads.stream().mapToDouble(Double::doubleValue).max().orElse(0), pressure);
+        }
     }
 
     /**
-     * Decides the next pace. Without fillers the latencies say nothing of their effect, so the pace
-     * stays where it was.
+     * Pace of fillers.
      *
-     * @param loads latency divided by objective of each serving task at work
-     * @param fillers number of fillers that run
+     * @param pressure rise of utilization that they would cause together at full pace
      * @return the pace in percent
      */
-    int next(Collection<Double> loads, long fillers) {
-        if (loads.isEmpty()) {
-            mServing = false;
-            mPace = FULL;
-        } else if (!mServing) {
-            mServing = true;
-            mPace = FIRST;
-        } else if (fillers > 0) {
-            adjust(loads.stream().mapToDouble(Double::doubleValue).max().orElse(0));
+    int pace(double pressure) {
+        if (!mServing || pressure <= mBudget) {
+            return FULL;
         }
-        return pace();
+        return (int) (FULL * mBudget / pressure);
     }
 
-    private void adjust(double worst) {
+    private void adjust(double worst, double pressure) {
         double utilization = 1 - IDLE_LOAD / Math.max(IDLE_LOAD, worst);
-        double excess = utilization - TARGET;
-        if (excess > 0) {
-            mPace *= Math.max(0, 1 - BACK_OFF * excess);
+        double room = TARGET - utilization;
+        double used = Math.min(mBudget, pressure);
+        mMissed = worst > 1 ? mMissed + 1 : 0;
+        if (mMissed >= LONGEST_MISS) {
+            mBudget = 0;
         } else {
-            mPace = Math.min(FULL, mPace - RECOVERY * excess);
+            mBudget = Math.max(0, used + (room < 0 ? room : RECOVERY * room));
         }
     }
 }
--- a/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
@@ -29,7 +29,7 @@
     Run ordered(StartOrder order, long deadline, long now) {
         Run run = new Run(order.task(), order.run(), now);
         run.mDeadline = deadline;
-        run.mFiller = order.filler();
+        run.mPressure = order.pressure();
         run.mObjective = order.latencyObjective();
         mRuns.put(order.task(), run);
         return run;
@@ -123,7 +123,10 @@
         boolean mUnanswered;
 
         long mStopSentAt;
-        boolean mFiller;
+
+        /** Rise of utilization that a filler causes for serving tasks at full pace. */
+        double mPressure;
+
         Duration mObjective = Duration.ZERO;
         int mPace = FillerPacer.FULL;
         private String mCheckpoint = "";
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
@@ -10,7 +10,6 @@
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.StartOrder;
-import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
@@ -175,11 +174,9 @@
     }
 
     @Override
-    public void describe(DaemonId agent, TaskName task, long run, StepSpec step) {
-        send(
-                agent,
-                new NodeMessage.Describe(
-                        task, run, step.traits().filler(), step.latencyObjective()));
+    public void describe(
+            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective) {
+        send(agent, new NodeMessage.Describe(task, run, pressure, latencyObjective));
     }
 
     @Override
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -107,7 +107,7 @@
             case NodeMessage.Stop m -> packTask(out.packInt(STOP), m.task()).packLong(m.run());
             case NodeMessage.Describe m -> {
                 packTask(out.packInt(DESCRIBE), m.task()).packLong(m.run());
-                out.packBoolean(m.filler()).packLong(m.latencyObjective().toMillis());
+                out.packDouble(m.pressure()).packLong(m.latencyObjective().toMillis());
             }
             case NodeMessage.EndsStored m -> out.packInt(ENDS_STORED).packLong(m.number());
             case NodeMessage.Call m ->
@@ -144,7 +144,7 @@
                     new NodeMessage.Describe(
                             unpackTask(in),
                             in.unpackLong(),
-                            in.unpackBoolean(),
+                            in.unpackDouble(),
                             Duration.ofMillis(in.unpackLong()));
             case ENDS_STORED -> new NodeMessage.EndsStored(in.unpackLong());
             case CALL -> new NodeMessage.Call(in.unpackLong(), unpackCall(in));
@@ -262,7 +262,7 @@
 
     private static void packOrder(MessagePacker out, StartOrder order) throws IOException {
         packTask(out, order.task()).packLong(order.run());
-        out.packString(order.spec()).packString(order.checkpoint()).packBoolean(order.filler());
+        out.packString(order.spec()).packString(order.checkpoint()).packDouble(order.pressure());
         out.packLong(order.latencyObjective().toMillis());
     }
 
@@ -272,7 +272,7 @@
                 in.unpackLong(),
                 in.unpackString(),
                 in.unpackString(),
-                in.unpackBoolean(),
+                in.unpackDouble(),
                 Duration.ofMillis(in.unpackLong()));
     }
 
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -132,10 +132,10 @@
      *
      * @param task the task
      * @param run the run
-     * @param filler true if the run may be paced down
+     * @param pressure expected rise of utilization that it causes; 0 if it must not be paced
      * @param latencyObjective bound on its tail latency, zero if none
      */
-    record Describe(TaskName task, long run, boolean filler, Duration latencyObjective)
+    record Describe(TaskName task, long run, double pressure, Duration latencyObjective)
             implements NodeMessage {}
 
     /**
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -79,7 +79,7 @@
     }
 
     private static StartOrder order(long run, boolean filler) {
-        return new StartOrder(TASK, run, "spec", "", filler, Duration.ZERO);
+        return new StartOrder(TASK, run, "spec", "", filler ? 0.4 : 0, Duration.ZERO);
     }
 
     private void start(long permit, StartOrder order) {
@@ -227,7 +227,7 @@
     void fillersArePacedWhileAnObjectiveIsMissed() {
         start(mOwner.mPing, order(1, true));
         TaskName serving = TaskName.parse("b.0.0.0");
-        StartOrder order = new StartOrder(serving, 1, "spec", "", false, Duration.ofMillis(50));
+        StartOrder order = new StartOrder(serving, 1, "spec", "", 0, Duration.ofMillis(50));
         start(mOwner.mPing, order);
         mWorker.mRunning.removeIf(row -> row.task().equals(serving));
         mWorker.mRunning.add(new RunningTask(serving, 1, "", 100, 80));
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -97,7 +97,12 @@
         public void stop(DaemonId agent, TaskName task, long run) {}
 
         @Override
-        public void describe(DaemonId agent, TaskName task, long run, StepSpec step) {}
+        public void describe(
+                DaemonId agent,
+                TaskName task,
+                long run,
+                double pressure,
+                Duration latencyObjective) {}
 
         @Override
         public void acknowledgeEnds(DaemonId agent, long number) {}
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -79,9 +79,9 @@
                 new NodeMessage.WorkerUpdate(info),
                 new NodeMessage.WorkerLost(WORKER, "why"),
                 new NodeMessage.Start(
-                        WORKER, 4, new StartOrder(TASK, 2, "s", "c", true, Duration.ofMillis(50))),
+                        WORKER, 4, new StartOrder(TASK, 2, "s", "c", 0.5, Duration.ofMillis(50))),
                 new NodeMessage.Stop(TASK, 2),
-                new NodeMessage.Describe(TASK, 2, true, Duration.ofMillis(50)),
+                new NodeMessage.Describe(TASK, 2, 0.5, Duration.ofMillis(50)),
                 new NodeMessage.EndsStored(8),
                 new NodeMessage.Call(1, new CallRequest.Submit(QUEUE, submission)),
                 new NodeMessage.Call(1, new CallRequest.Read(QUEUE, JOB)),
