--- a/node/src/main/java/org/knapweedbank/node/entry/CallRouter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/CallRouter.java
@@ -101,14 +101,20 @@
 
     private void expire(Pending pending) {
         if (mPending.remove(pending.mNumber) != null) {
-            mLog.record("call.expired", pending.mRequest.queue(), "sent", pending.mSent);
+            boolean unknown = pending.mSent && changes(pending.mRequest);
+            mLog.record("call.expired", pending.mRequest.queue(), "outcome_unknown", unknown);
             pending.mDone.accept(
-                    pending.mSent
+                    unknown
                             ? new CallAnswer.OutcomeUnknown("no answer of the owner in time")
                             : new CallAnswer.Refused("no owner", false, RETRY_AFTER));
         }
     }
 
+    /** Tells whether a request may have changed something though no answer came. */
+    private static boolean changes(CallRequest request) {
+        return request instanceof CallRequest.Submit || request instanceof CallRequest.Cancel;
+    }
+
     /** A request without an answer. */
     private static final class Pending {
         final long mNumber;
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
@@ -35,8 +35,11 @@
     private static final Duration LOAD_RETRY = Duration.ofMillis(100);
     private static final Duration SCHEDULE = Duration.ofMillis(100);
 
-    /** How long a new job waits for a store that refuses before it is refused itself. */
-    private static final long STORE_PATIENCE_MILLIS = 400;
+    /**
+     * How long a new job waits for a store that takes no writes before it is refused. A store that
+     * is slow but works answers within this time.
+     */
+    private static final long STORE_PATIENCE_MILLIS = 700;
 
     private static final Duration STORE_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -329,6 +332,7 @@
     private void schedule() {
         mSchedulePending = false;
         if (ready()) {
+            failing();
             mOwner.schedule();
             mWriter.pump();
         }
--- a/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -47,6 +47,9 @@
     /** Jobs of which a write without an answer may still be made. */
     private final Set<Job> mUncertain = new HashSet<>();
 
+    /** Jobs in the present write. */
+    private Set<Job> mUnderWay = Set.of();
+
     private boolean mWriting;
     private boolean mScheduled;
     private boolean mStopped;
@@ -74,15 +77,15 @@
         mStopped = true;
     }
 
-    /** How long writes have failed; zero while they succeed. */
+    /** How long the store has not taken a write, whether it fails or does not answer. */
     Duration failing() {
-        return mFailingSince < 0
-                ? Duration.ZERO
-                : Duration.ofMillis(mClock.monotonicMillis() - mFailingSince);
+        long since = mFailingSince >= 0 ? mFailingSince : mWriting ? mStartedAt : -1;
+        return since < 0 ? Duration.ZERO : Duration.ofMillis(mClock.monotonicMillis() - since);
     }
 
+    /** Tells whether a write of the job is under way or may still be made. */
     boolean uncertain(Job job) {
-        return mUncertain.contains(job);
+        return mUncertain.contains(job) || mUnderWay.contains(job);
     }
 
     boolean idle() {
@@ -138,6 +141,7 @@
                         change.expect(StoreKeys.job(job.id()), job.revision())
                                 .remove(StoreKeys.job(job.id())));
         mWriting = true;
+        mUnderWay = versions.keySet();
         mStartedAt = mClock.monotonicMillis();
         mStore.write(change, outcome -> wrote(versions, listVersion, removed, outcome));
     }
@@ -145,6 +149,7 @@
     private void wrote(
             Map<Job, Long> versions, long listVersion, List<Job> removed, WriteOutcome outcome) {
         mWriting = false;
+        mUnderWay = Set.of();
         if (mStopped) {
             return;
         }
--- a/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
@@ -46,6 +46,8 @@
         REFUSED,
         /** Done, but the answer is lost. */
         ANSWER_LOST,
+        /** No answer until a time limit; nothing is done. */
+        SILENT,
         /** No answer; done seconds later if its conditions still hold. */
         DONE_LATE
     }
@@ -92,6 +94,9 @@
         } else if (fault == WriteFault.ANSWER_LOST) {
             apply(change);
             mTimers.after(ANSWER, () -> done.accept(new WriteOutcome.Unknown("lost")));
+        } else if (fault == WriteFault.SILENT) {
+            mTimers.after(
+                    Duration.ofMillis(1_500), () -> done.accept(new WriteOutcome.Unknown("")));
         } else if (fault == WriteFault.DONE_LATE) {
             mTimers.after(Duration.ofSeconds(3), () -> apply(change));
             mTimers.after(ANSWER, () -> done.accept(new WriteOutcome.Unknown("late")));
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -188,4 +188,16 @@
         assertThat(mWriter.uncertain(job)).isFalse();
         assertThat(job.storedVersion()).isGreaterThan(0);
     }
+
+    /** Guards against new jobs that are held to their limit while the store does not answer. */
+    @Test
+    void writeWithoutAnAnswerCountsAsFailing() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.SILENT);
+        Job first = submit("a");
+        mTimers.pass(Duration.ofMillis(900));
+        Job second = submit("b");
+        assertThat(mWriter.failing()).isAtLeast(Duration.ofMillis(800));
+        assertThat(mWriter.uncertain(first)).isTrue();
+        assertThat(mWriter.uncertain(second)).isFalse();
+    }
 }
