Find a new owner sooner, and keep new jobs out of writes that fail

While the store reset connections, each repeated write took the newest jobs along, which became uncertain and were answered 504 at their limit. Ruled out: the time to load (0.1 s) and to elect (0.1 s).

--- a/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -118,7 +118,7 @@
     }
 
     private void write() {
-        List<Job> jobs = mOwner.unwritten(MAX_JOBS);
+        List<Job> jobs = selection();
         VmList list = mOwner.vmList();
         List<Job> expired = jobs.isEmpty() ? mOwner.expired() : List.of();
         if (jobs.isEmpty() && !list.dirty() && expired.isEmpty()) {
@@ -146,6 +146,23 @@
         mStore.write(change, outcome -> wrote(versions, listVersion, removed, outcome));
     }
 
+    /**
+     * Jobs of the next write. While writes fail, new jobs stay out of it, so that they can be
+     * refused as not accepted; a single one serves to find out whether the store is back.
+     */
+    private List<Job> selection() {
+        if (mFailingSince < 0) {
+            return mOwner.unwritten(MAX_JOBS);
+        }
+        List<Job> unwritten = mOwner.unwritten(Integer.MAX_VALUE);
+        List<Job> known =
+                unwritten.stream()
+                        .filter(job -> job.storedVersion() > 0 || mUncertain.contains(job))
+                        .limit(MAX_JOBS)
+                        .toList();
+        return known.isEmpty() ? unwritten.stream().limit(1).toList() : known;
+    }
+
     private void wrote(
             Map<Job, Long> versions, long listVersion, List<Job> removed, WriteOutcome outcome) {
         mWriting = false;
--- a/node/src/main/java/org/knapweedbank/node/link/OwnerConnector.java
+++ b/node/src/main/java/org/knapweedbank/node/link/OwnerConnector.java
@@ -12,7 +12,7 @@
  * that it knows, which redirect it; the list of entries is refreshed while there is no owner.
  */
 public final class OwnerConnector {
-    private static final Duration RETRY = Duration.ofMillis(200);
+    private static final Duration RETRY = Duration.ofMillis(100);
 
     /** Time in which the other side has to answer the first message. */
     private static final Duration ANSWER = Duration.ofMillis(1_000);
@@ -79,8 +79,12 @@
     public void hint(String address) {
         if (!address.isEmpty() && !address.equals(mHint)) {
             mHint = address;
+            mNext = 0;
             if (mOwner != null) {
                 mOwner.close("the owner has changed");
+            } else {
+                mAttempt++;
+                search();
             }
         }
     }
@@ -126,7 +130,10 @@
         }
     }
 
-    /** Link whose other side may be the owner. */
+    /**
+     * Link whose other side may be the owner. A new owner that still loads redirects nowhere; it is
+     * asked again before the others, of which one is the lost owner and would cost a time limit.
+     */
     private final class Opening implements LinkListener {
         private final Link mLink;
         private final String mAddress;
@@ -180,6 +187,8 @@
         private void redirected(String owner) {
             if (!owner.isEmpty() && !owner.equals(mAddress)) {
                 mHint = owner;
+            }
+            if (!owner.isEmpty() || mAddress.equals(mHint)) {
                 mNext = 0;
             }
             mLink.close("not the owner");
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -200,4 +200,20 @@
         assertThat(mWriter.uncertain(first)).isTrue();
         assertThat(mWriter.uncertain(second)).isFalse();
     }
+
+    /** Guards against new jobs that become uncertain one retry after the other. */
+    @Test
+    void newJobsStayOutOfWritesWhileTheyFail() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.DONE_LATE);
+        mStore.mWriteFaults.add(FakeStore.WriteFault.ANSWER_LOST);
+        mStore.mWriteFaults.add(FakeStore.WriteFault.REFUSED);
+        Job first = submit("a");
+        mTimers.pass(Duration.ofMillis(50));
+        Job second = submit("b");
+        mTimers.pass(Duration.ofMillis(150));
+        assertThat(mWriter.uncertain(first)).isTrue();
+        assertThat(mWriter.uncertain(second)).isFalse();
+        mTimers.pass(Duration.ofSeconds(1));
+        assertThat(second.storedVersion()).isGreaterThan(0);
+    }
 }
