Refuse all calls of a job that is given up

Cause: a repeat that waited for the same unstored job as the first call waited on until its limit when the job was withdrawn with the first call. Change: all calls that wait for a withdrawn job are refused together; tests of the owner's duty on a store that refuses and loses answers. The test of the repeat failed before.

--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
@@ -200,7 +200,12 @@
 
     @Override
     public void failing() {
-        mWaiters.stream().filter(this::hopeless).toList().forEach(this::refuse);
+        mWaiters.stream()
+                .filter(this::hopeless)
+                .map(Waiter::mJob)
+                .distinct()
+                .toList()
+                .forEach(this::refuse);
     }
 
     @Override
@@ -312,10 +317,12 @@
                 && mClock.monotonicMillis() - waiter.mSince > STORE_PATIENCE_MILLIS;
     }
 
-    private void refuse(Waiter waiter) {
-        mWaiters.remove(waiter);
-        mOwner.withdraw(waiter.mJob);
-        waiter.finish(storeAway());
+    /** Forgets a job that no write can have stored, and answers all calls that wait for it. */
+    private void refuse(Job job) {
+        List<Waiter> refused = mWaiters.stream().filter(w -> w.mJob == job).toList();
+        mWaiters.removeAll(refused);
+        mOwner.withdraw(job);
+        refused.forEach(w -> w.finish(storeAway()));
     }
 
     private static CallAnswer storeAway() {
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnerDutyTest.java
@@ -0,0 +1,131 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.JobQueue;
+import org.knapweedbank.jobs.JobState;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.CallAnswer;
+import org.knapweedbank.node.CallRequest;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.store.StoreChange;
+import org.knapweedbank.time.ManualClock;
+
+/** Calls to the owner while its store misbehaves. */
+class OwnerDutyTest {
+    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
+    private static final Duration SECONDS = Duration.ofSeconds(6);
+    private static final JobId JOB = new JobId("5c0e7a21d94b36f8");
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final FakeStore mStore = new FakeStore(mTimers);
+    private final List<CallAnswer> mAnswers = new ArrayList<>();
+    private OwnerDuty mDuty;
+
+    @BeforeEach
+    void elect() {
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'1'}, 0));
+        mDuty = duty(1);
+    }
+
+    private OwnerDuty duty(long term) {
+        OwnerSettings owner =
+                new OwnerSettings(SECONDS, SECONDS, SECONDS, SECONDS, SECONDS, SECONDS, 1);
+        EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, SECONDS, owner);
+        OwnerDuty duty =
+                new OwnerDuty(
+                        settings,
+                        mClock,
+                        mTimers,
+                        mStore,
+                        DecisionLog.NONE,
+                        term,
+                        mStore.item(StoreKeys.TERM).revision(),
+                        () -> {});
+        duty.load(
+                loaded ->
+                        loaded.configure(
+                                List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, SECONDS, SECONDS))));
+        mTimers.pass(Duration.ofMillis(100));
+        return duty;
+    }
+
+    private static CallRequest submit() {
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        new Resources(1, 1, 0),
+                        Duration.ZERO,
+                        List.of(),
+                        StepTraits.BATCH,
+                        PlacementRule.ANYWHERE,
+                        "",
+                        Duration.ZERO,
+                        -1);
+        return new CallRequest.Submit(
+                QUEUE, new JobSubmission(JOB, "", List.of(step), Timetable.ONCE));
+    }
+
+    /** Guards against an acceptance that a loss of all processes takes back. */
+    @Test
+    void acceptedJobIsKnownToTheNextOwner() {
+        mDuty.call(submit(), mAnswers::add);
+        assertThat(mAnswers).isEmpty();
+        mTimers.pass(Duration.ofMillis(50));
+        assertThat(mAnswers).containsExactly(new CallAnswer.Accepted());
+        mAnswers.clear();
+        OwnerDuty next = duty(2);
+        next.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        assertThat(mAnswers).containsExactly(new CallAnswer.State(JobState.QUEUED));
+    }
+
+    /** Guards against a repeat that waits for a job which was given up with the first call. */
+    @Test
+    void allCallsOfAJobThatCanNotBeStoredAreRefused() {
+        mStore.mAway = true;
+        mDuty.call(submit(), mAnswers::add);
+        mTimers.pass(Duration.ofMillis(500));
+        mDuty.call(submit(), mAnswers::add);
+        mTimers.pass(Duration.ofMillis(400));
+        assertThat(mAnswers).hasSize(2);
+        assertThat(mAnswers.get(0)).isInstanceOf(CallAnswer.Refused.class);
+        assertThat(mAnswers.get(1)).isInstanceOf(CallAnswer.Refused.class);
+        mStore.mAway = false;
+        mTimers.pass(Duration.ofSeconds(2));
+        assertThat(mStore.items(StoreKeys.JOBS)).isEmpty();
+    }
+
+    /** Guards against "not accepted" for a job that a lost write has stored. */
+    @Test
+    void jobOfALostWriteIsNotRefused() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.ANSWER_LOST);
+        mDuty.call(submit(), mAnswers::add);
+        mTimers.pass(Duration.ofSeconds(2));
+        assertThat(mAnswers).containsExactly(new CallAnswer.Accepted());
+    }
+
+    /** Guards against an answer 410 for a job that exists, and a state for one that does not. */
+    @Test
+    void unknownJobIsGone() {
+        mDuty.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        mDuty.call(new CallRequest.Cancel(QUEUE, JOB), mAnswers::add);
+        assertThat(mAnswers)
+                .containsExactly(new CallAnswer.NoSuchJob(), new CallAnswer.NoSuchJob());
+    }
+}
