Do not refuse a repeat of a job that may still be stored

Ruled out: a withdrawn job; withdrawal leaves out all that a write has carried. Change: a job that is known, stored or not, is waited for. The test failed before and passes.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -178,6 +178,16 @@
         return Optional.ofNullable(mState.mJobs.get(id)).filter(Job::stored);
     }
 
+    /**
+     * Tells whether a job is known, be it stored or on its way to the store.
+     *
+     * @param id the job
+     * @return true if it is known; it may then still be stored even if a write got no answer
+     */
+    public boolean knows(JobId id) {
+        return mState.mJobs.containsKey(id);
+    }
+
     /**
      * Counts the accepted jobs of a queue of which no task has started.
      *
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
@@ -272,7 +272,7 @@
     }
 
     private void submit(CallRequest.Submit submit, Consumer<CallAnswer> done) {
-        boolean known = mOwner.find(submit.submission().id()).isPresent();
+        boolean known = mOwner.knows(submit.submission().id());
         if (!known && mWriter.failing().toMillis() > STORE_PATIENCE_MILLIS) {
             done.accept(storeAway());
             return;
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnerDutyTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnerDutyTest.java
@@ -128,4 +128,18 @@
         assertThat(mAnswers)
                 .containsExactly(new CallAnswer.NoSuchJob(), new CallAnswer.NoSuchJob());
     }
+
+    /** Guards against "not accepted" for a repeat while the first write may still be made. */
+    @Test
+    void repeatOfAnUncertainJobIsNotRefused() {
+        mStore.mWriteFaults.add(FakeStore.WriteFault.DONE_LATE);
+        for (int i = 0; i < 12; i++) {
+            mStore.mWriteFaults.add(FakeStore.WriteFault.REFUSED);
+        }
+        mDuty.call(submit(), mAnswers::add);
+        mTimers.pass(Duration.ofMillis(900));
+        mDuty.call(submit(), mAnswers::add);
+        mTimers.pass(Duration.ofSeconds(4));
+        assertThat(mAnswers).containsExactly(new CallAnswer.Accepted(), new CallAnswer.Accepted());
+    }
 }
