Leave the store before the end of a stop, and close in the event of the last check

Ruled out: the limit of the grace (4.8 s) had not passed; calls are answered within 2.85 s. Change: the entry hands over and leaves first, serves on, and closes all connections in the same event in which it finds none open. An entry that has left does not announce itself again.

--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -40,6 +40,7 @@
     private boolean mCandidacy;
     private long mOwnTerm;
     private boolean mResigned;
+    private boolean mLeft;
     private boolean mStoreAway;
 
     Election(
@@ -80,6 +81,7 @@
     /** Removes this entry's keys. */
     void leave(Runnable done) {
         mResigned = true;
+        mLeft = true;
         if (mLease == 0) {
             done.run();
         } else {
@@ -93,7 +95,7 @@
     }
 
     private void keepLease() {
-        if (mLeaseCall) {
+        if (mLeaseCall || mLeft) {
             return;
         }
         mLeaseCall = true;
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
@@ -119,10 +119,15 @@
         mRouter.call(request, limit, done);
     }
 
-    /** Hands the ownership over and takes no new callers; open calls are still answered. */
-    public void stop() {
+    /**
+     * Takes no new callers, hands the ownership over and leaves the store; open calls and those of
+     * open connections are still answered.
+     *
+     * @param left runs when the entry has left the store or can't
+     */
+    public void stop(Runnable left) {
         mStopping = true;
-        handOver();
+        handOver(() -> mElection.leave(left));
     }
 
     /**
@@ -134,15 +139,6 @@
         return mRouter.pending();
     }
 
-    /**
-     * Removes the entry from the store.
-     *
-     * @param done runs when it is removed or can't be
-     */
-    public void leave(Runnable done) {
-        mElection.leave(done);
-    }
-
     @Override
     public void elected(long term, long termRevision) {
         mHighestTerm = Math.max(mHighestTerm, term);
@@ -264,16 +260,16 @@
         }
     }
 
-    private void handOver() {
+    private void handOver(Runnable done) {
         if (mDuty == null) {
-            mElection.resign(() -> {});
+            mElection.resign(done);
             return;
         }
         mDuty.drain(
                 DRAIN,
                 () -> {
                     endDuty();
-                    mElection.resign(() -> {});
+                    mElection.resign(done);
                 });
     }
 
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -137,4 +137,15 @@
         assertThat(strong.mWon).hasSize(1);
         assertThat(weak.mWon).isEmpty();
     }
+
+    /** Guards against a stopping entry that announces itself again while it serves on. */
+    @Test
+    void entryThatHasLeftStaysOut() {
+        Candidate only = new Candidate("a", 1);
+        pass(3);
+        only.mElection.leave(() -> {});
+        pass(5);
+        assertThat(mStore.items(StoreKeys.ENTRIES)).isEmpty();
+        assertThat(mStore.item(StoreKeys.OWNER)).isNull();
+    }
 }
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/GracefulStopTest.java
@@ -0,0 +1,57 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.time.ManualClock;
+
+/** Planned stop of an entry under load. */
+class GracefulStopTest {
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final List<String> mEvents = new ArrayList<>();
+    private int mOpen;
+
+    private void stop() {
+        new GracefulStop(mClock, mTimers, Duration.ofMillis(2_500), Duration.ofMillis(4_800))
+                .run(left -> mEvents.add("leave"), () -> mOpen, () -> mEvents.add("close"));
+    }
+
+    /**
+     * Guards against a request that is read while the entry leaves the store and gets no answer.
+     */
+    @Test
+    void entryLeavesTheStoreLongBeforeItCloses() {
+        stop();
+        assertThat(mEvents).containsExactly("leave");
+        mTimers.pass(Duration.ofMillis(2_400));
+        assertThat(mEvents).containsExactly("leave");
+        mTimers.pass(Duration.ofMillis(200));
+        assertThat(mEvents).containsExactly("leave", "close").inOrder();
+    }
+
+    /** Guards against closing while a request is open. */
+    @Test
+    void openRequestIsAnsweredFirst() {
+        mOpen = 1;
+        stop();
+        mTimers.pass(Duration.ofMillis(4_000));
+        assertThat(mEvents).containsExactly("leave");
+        mOpen = 0;
+        mTimers.pass(Duration.ofMillis(200));
+        assertThat(mEvents).contains("close");
+    }
+
+    /** Guards against a stop that never ends. */
+    @Test
+    void listenersAreClosedInAnyCase() {
+        mOpen = 1;
+        stop();
+        mTimers.pass(Duration.ofMillis(5_000));
+        assertThat(mEvents).contains("close");
+    }
+}
