Keep one formula for the utilization behind a tail latency, and remove two unused counts

Cause: FillerPacer and PressureEstimator held the same formula and constant; the count of pending calls was left without a caller when the stop began to count open requests at the listener. Change: TailLatency serves both; EntryNode.pendingCalls and CallRouter.pending are gone. No behaviour changes. Checked: formatter, linter and tests of model, jobs, node and platform pass.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PressureEstimator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PressureEstimator.java
@@ -17,9 +17,6 @@
     /** Factor of an image without observations: cautious, as most images disturb. */
     static final double UNKNOWN = 1.2;
 
-    /** Latency of an idle serving task as a share of its objective. */
-    private static final double IDLE_LOAD = 0.2;
-
     /** Share of an error that one observation corrects. */
     private static final double STEP = 0.25;
 
@@ -38,11 +35,6 @@
      */
     record Sample(Map<String, Double> utilization, Map<String, Double> use) {}
 
-    /** Utilization that stands behind a tail latency, given as a share of its objective. */
-    static double utilization(double load) {
-        return 1 - IDLE_LOAD / Math.max(IDLE_LOAD, load);
-    }
-
     /** Rise of a serving task's utilization for each whole VM that fillers of an image use. */
     double factor(String image) {
         return mFactors.getOrDefault(image, UNKNOWN);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.TailLatency;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
@@ -227,7 +228,7 @@
             var spec = task.mStep.mSpec;
             if (spec.serving() && row.percent() == AT_WORK) {
                 double load = (double) row.figure() / spec.latencyObjective().toMillis();
-                utilization.put(row.task().toString(), PressureEstimator.utilization(load));
+                utilization.put(row.task().toString(), TailLatency.utilization(load));
             } else if (spec.traits().filler()) {
                 use.merge(spec.image(), row.figure() / capacity, Double::sum);
             }
--- a/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.node.agent;
 
 import java.util.Collection;
+import org.knapweedbank.jobs.TailLatency;
 
 /**
  * Chooses the pace of the fillers of one VM from the tail latencies of its serving tasks.
@@ -15,9 +16,6 @@
 final class FillerPacer {
     static final int FULL = 100;
 
-    /** Latency of an idle serving task as a share of its objective. */
-    private static final double IDLE_LOAD = 0.2;
-
     /** Utilization of the worst serving task that the controller steers to. */
     private static final double TARGET = 0.74;
 
@@ -65,7 +63,7 @@
     }
 
     private void adjust(double worst, double pressure) {
-        double utilization = 1 - IDLE_LOAD / Math.max(IDLE_LOAD, worst);
+        double utilization = TailLatency.utilization(worst);
         double room = TARGET - utilization;
         double used = Math.min(mBudget, pressure);
         mMissed = worst > 1 ? mMissed + 1 : 0;
--- a/node/src/main/java/org/knapweedbank/node/entry/CallRouter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/CallRouter.java
@@ -41,10 +41,6 @@
         return mLocal != null || mRemote != null;
     }
 
-    int pending() {
-        return mPending.size();
-    }
-
     void local(OwnerDuty owner) {
         mLocal = owner;
         dispatchAll();
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
@@ -130,15 +130,6 @@
         handOver(() -> mElection.leave(left));
     }
 
-    /**
-     * Number of calls without an answer.
-     *
-     * @return the number
-     */
-    public int pendingCalls() {
-        return mRouter.pending();
-    }
-
     @Override
     public void elected(long term, long termRevision) {
         mHighestTerm = Math.max(mHighestTerm, term);
