Count bytes on their way to the event loop in a connection's write queue

Cause: writable() asked the socket, whose queue is filled only by the event loop, while send() rejects by a count that also holds messages handed over to the loop. A producer on another thread (the agent's request duty) was told to go on with the queue full, and its next message was rejected. The test of the rejection ran beside the loop and so failed when the loop drained first.

Ruled out: the limit itself; the count is right, the two questions used different counts.

Change: one count answers both; the drain handler runs when that count falls below the mark. The test of the rejection sends on the event loop, where nothing drains in between; a new test holds the event loop and fails without the change (writable() true after a rejection).

--- a/wire/src/main/java/org/knapweedbank/wire/FrameConnection.java
+++ b/wire/src/main/java/org/knapweedbank/wire/FrameConnection.java
@@ -49,11 +49,9 @@
         mCounters = counters;
         mParser = RecordParser.newFixed(FrameCodec.LENGTH_BYTES);
         mParser.handler(this::onRecord);
-        socket.setWriteQueueMaxSize(HIGH_WATER_BYTES);
         socket.handler(this::onBytes);
         socket.exceptionHandler(e -> LOG.debug("[wire] connection {} failed", remote(), e));
         socket.closeHandler(ignored -> onClosed());
-        socket.drainHandler(ignored -> onDrained());
     }
 
     /**
@@ -75,25 +73,26 @@
             return false;
         }
         int length = frame.length();
-        if (mUnsent.addAndGet(length) > QUEUE_LIMIT_BYTES) {
-            mUnsent.addAndGet(-length);
+        long unsent = mUnsent.getAndUpdate(u -> fits(u, length) ? u + length : u);
+        if (!fits(unsent, length)) {
             mCounters.countRejected();
             LOG.warn("[wire] write queue to {} is full; message rejected", remote());
             return false;
         }
         mCounters.countSent(message, length);
-        mSocket.write(frame).onComplete(ignored -> mUnsent.addAndGet(-length));
+        mSocket.write(frame).onComplete(ignored -> onSent(length));
         return true;
     }
 
     /**
      * Tells whether a producer of large amounts may go on. A producer that sees false pauses until
-     * the drain handler runs.
+     * the drain handler runs. Bytes on their way to the event loop count as well, so that a
+     * producer on another thread pauses before its messages are rejected.
      *
      * @return true if less than {@link #HIGH_WATER_BYTES} wait to be sent
      */
     public boolean writable() {
-        return !mSocket.writeQueueFull();
+        return mUnsent.get() < HIGH_WATER_BYTES;
     }
 
     /**
@@ -211,7 +210,7 @@
         mCloseHandler = closed;
     }
 
-    private void onContext(Runnable action) {
+    void onContext(Runnable action) {
         if (Vertx.currentContext() == mContext) {
             action.run();
         } else {
@@ -256,8 +255,14 @@
         }
     }
 
-    private void onDrained() {
-        if (mDrainHandler != null) {
+    private static boolean fits(long unsent, int length) {
+        return unsent + length <= QUEUE_LIMIT_BYTES;
+    }
+
+    private void onSent(int length) {
+        long left = mUnsent.addAndGet(-length);
+        boolean drained = left < HIGH_WATER_BYTES && left + length >= HIGH_WATER_BYTES;
+        if (drained && mDrainHandler != null) {
             mDrainHandler.run();
         }
     }
--- a/wire/src/test/java/org/knapweedbank/wire/FrameConnectionTest.java
+++ b/wire/src/test/java/org/knapweedbank/wire/FrameConnectionTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -130,24 +131,79 @@
         assertThat(port).isNotEqualTo(free);
     }
 
-    /** Guards against unbounded memory when a peer does not read. */
+    /**
+     * Guards against unbounded memory when a peer does not read. The event loop itself sends, so
+     * that nothing can drain between the rejection and the checks.
+     */
     @Test
     void rejectsWhenWriteQueueIsFull() throws Exception {
         int port = listen(FrameTimeouts.DEFAULT);
         FrameConnection client =
                 client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
         take(mAccepted).pause();
-        ResponseChunk chunk = new ResponseChunk(1, 0, new byte[512 * 1024]);
         List<Boolean> sent = new ArrayList<>();
-        while (sent.size() < 1000 && !sent.contains(false)) {
-            sent.add(client.send(chunk));
-        }
+        CompletableFuture<Boolean> writable = new CompletableFuture<>();
+        onLoopOf(
+                client,
+                () -> {
+                    fill(client, sent);
+                    writable.complete(client.writable());
+                });
+        assertThat(writable.get(10, TimeUnit.SECONDS)).isFalse();
         assertThat(sent).contains(false);
-        assertThat(client.writable()).isFalse();
         assertThat(new TrafficCounters(mRegistry).rejected()).isEqualTo(1);
         assertThat(client.isOpen()).isTrue();
     }
 
+    /**
+     * Guards against a producer on another thread that is told to go on although its messages wait
+     * for the event loop, and against one that is never told that they have been sent.
+     */
+    @Test
+    void countsMessagesThatWaitForTheEventLoop() throws Exception {
+        int port = listen(FrameTimeouts.DEFAULT);
+        FrameConnection client =
+                client().connect("127.0.0.1:" + port, HELLO).await().indefinitely();
+        take(mAccepted).messageHandler(ignored -> {});
+        CompletableFuture<Void> drained = new CompletableFuture<>();
+        client.drainHandler(() -> drained.complete(null));
+        CountDownLatch released = new CountDownLatch(1);
+        onLoopOf(client, released::await);
+        List<Boolean> sent = new ArrayList<>();
+        fill(client, sent);
+        boolean writable = client.writable();
+        released.countDown();
+        assertThat(sent).contains(false);
+        assertThat(writable).isFalse();
+        drained.get(10, TimeUnit.SECONDS);
+        assertThat(client.writable()).isTrue();
+    }
+
+    /** Sends large messages until one is rejected. */
+    private static void fill(FrameConnection client, List<Boolean> sent) {
+        ResponseChunk chunk = new ResponseChunk(1, 0, new byte[512 * 1024]);
+        while (sent.size() < 1000 && !sent.contains(false)) {
+            sent.add(client.send(chunk));
+        }
+    }
+
+    /** Runs an action on the event loop of a connection, whose handlers run there. */
+    private static void onLoopOf(FrameConnection client, BlockingAction action) {
+        client.onContext(
+                () -> {
+                    try {
+                        action.run();
+                    } catch (InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+    }
+
+    /** Action that may block. */
+    private interface BlockingAction {
+        void run() throws InterruptedException;
+    }
+
     /** Guards against a close that the peer does not notice, or a lost reason. */
     @Test
     void goodbyeArrivesBeforeTheClose() throws Exception {
