Log what a job asks for, the room of the chosen VM, and each change of fillers' pace

Cause: an on-call engineer could not see from the log why a batch job was late: neither its objective, nor how full its VM was, nor that it was paced.

Change: job.created, inputs of task.order, fillers.pace. No decision changes.

--- a/jobs/src/main/java/org/knapweedbank/jobs/StepSpec.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/StepSpec.java
@@ -59,4 +59,15 @@
     public boolean serving() {
         return !latencyObjective.isZero();
     }
+
+    /**
+     * Short form for logs.
+     *
+     * @return number of tasks, processor time of each in thousandths of a core, how they behave,
+     *     and their estimated run time
+     */
+    public String summary() {
+        String kind = serving() ? "serving" : traits.filler() ? "filler" : "batch";
+        return count + "x" + perTask.milliCpu() + "m " + kind + " " + estimate.toMillis() + "ms";
+    }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -33,7 +33,19 @@
     void start(Task task, Vm vm) {
         long run = Math.max(task.mLastRun, (mState.mTerm - 1) * RUNS_PER_TERM) + 1;
         Attempt attempt = begin(task, vm, run);
-        mState.mLog.record("task.order", task.mName, "run", run, "vm", vm.mAgent.value());
+        mState.mLog.record(
+                "task.order",
+                task.mName,
+                "run",
+                run,
+                "vm",
+                vm.mAgent.value(),
+                "spare_cpu",
+                vm.spareCpu(),
+                "serving_cpu",
+                vm.mServingCpu,
+                "utilization",
+                vm.servingUtilization());
         mState.mOutput.start(vm.mAgent, order(task, attempt));
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -18,6 +18,7 @@
 import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOutcome;
+import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
@@ -139,6 +140,15 @@
         Instant accepted = mState.mClock.wallTime();
         Job job = new Job(submission, configured, accepted);
         mState.mJobs.put(job.id(), job);
+        mState.mLog.record(
+                "job.created",
+                job.id().value(),
+                "steps",
+                submission.steps().stream().map(StepSpec::summary).toList(),
+                "priority",
+                configured.priority(),
+                "objective_ms",
+                JobUrgency.objective(job).toMillis());
         return new SubmitResult.Known(job);
     }
 
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -55,6 +55,9 @@
     private boolean mLoopPaused;
     private int mTicks;
 
+    /** Newest pace of fillers, for the log. */
+    private int mPace = FillerPacer.FULL;
+
     /**
      * Creates the session and starts its timer.
      *
@@ -393,6 +396,10 @@
         applyPace();
     }
 
+    private double worstLoad() {
+        return mRuns.runs().stream().mapToDouble(Run::load).max().orElse(0);
+    }
+
     /** Rise of utilization that the running fillers would cause at full pace. */
     private double pressure() {
         return mRuns.runs().stream()
@@ -403,6 +410,20 @@
 
     private void applyPace() {
         int pace = mPacer.pace(pressure());
+        if (pace != mPace) {
+            mLog.record(
+                    "fillers.pace",
+                    mWorker.id(),
+                    "percent",
+                    pace,
+                    "before",
+                    mPace,
+                    "worst_load",
+                    worstLoad(),
+                    "pressure",
+                    pressure());
+            mPace = pace;
+        }
         mRuns.runs().stream()
                 .filter(run -> run.mStarted && run.mPressure > 0 && run.mPace != pace)
                 .forEach(run -> pace(run, pace));
