Find workers whose tasks stand still, and start these tasks elsewhere

Change: HangDetector, a decision of its own: a VM none of whose batch tasks makes progress for two seconds (longer for long tasks) is suspended, its standing tasks are stopped and start elsewhere, twice at most. One standing task beside others that progress condemns nothing.

Ruled out: the list lagging behind an order: only listed tasks count.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
@@ -11,6 +11,9 @@
     int mPercent;
     String mCheckpoint = "";
 
+    /** When the run last made progress; at first when it was ordered. */
+    long mProgressAt;
+
     /** Reports in a row in which a filler got less processor time than half of its demand. */
     int mStarvedReports;
 
@@ -19,5 +22,6 @@
         mVm = vm;
         mRun = run;
         mOrderedAt = now;
+        mProgressAt = now;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -25,6 +25,7 @@
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
     private final VmList mList;
+    private final HangDetector mHangs;
 
     /** VMs of earlier owners that have not yet told this owner what they run. */
     private final Map<DaemonId, WorkerId> mUnresolved;
@@ -33,6 +34,7 @@
         mState = state;
         mAttempts = attempts;
         mList = list;
+        mHangs = new HangDetector(state, attempts);
         mUnresolved = new HashMap<>(list.workers());
     }
 
@@ -84,6 +86,7 @@
         List.copyOf(vm.mAttempts.values()).stream()
                 .filter(a -> !listed.contains(a.mTask.mName) && a.mOrderedAt < settled)
                 .forEach(a -> absent(vm, a));
+        mHangs.inspect(vm, listed);
     }
 
     void update(DaemonId agent, WorkerInfo worker) {
@@ -247,6 +250,9 @@
         long demand = attempt.mTask.mStep.mSpec.perTask().milliCpu();
         boolean starved = row.figure() < demand * STARVED_SHARE;
         attempt.mStarvedReports = starved ? attempt.mStarvedReports + 1 : 0;
+        if (row.percent() != attempt.mPercent) {
+            attempt.mProgressAt = mState.now();
+        }
         attempt.mPercent = row.percent();
         attempt.mCheckpoint = row.checkpoint();
     }
