One copy of a watched prefix serves the election and the operators' feed

Cause: Election and OperatorFeed each had the loop "read a prefix, watch it, read it again after a gap", and MemberView and OperatorFeed each applied events.

Change: PrefixWatch holds the loop and the copy, with a test of its own against a store that cuts, forgets and is away; MemberView only reads items.

--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -10,9 +10,9 @@
 import org.knapweedbank.node.Timers;
 import org.knapweedbank.node.store.CoordinationStore;
 import org.knapweedbank.node.store.LeaseOutcome;
-import org.knapweedbank.node.store.ReadOutcome;
+import org.knapweedbank.node.store.PrefixWatch;
 import org.knapweedbank.node.store.StoreChange;
-import org.knapweedbank.node.store.WatchOutcome;
+import org.knapweedbank.node.store.StoreItem;
 import org.knapweedbank.node.store.WriteOutcome;
 
 /**
@@ -20,7 +20,7 @@
  * of its entry and only shows that the owner lives; what makes an owner is the number of its term,
  * which each takeover raises, and whose revision guards each of its writes.
  */
-final class Election {
+final class Election implements PrefixWatch.Listener {
     private static final Duration RENEWAL = Duration.ofMillis(600);
     private static final Duration WATCH_WAIT = Duration.ofMillis(1_000);
     private static final Duration RETRY = Duration.ofMillis(200);
@@ -33,7 +33,7 @@
     private final Timers mTimers;
     private final DecisionLog mLog;
     private final ElectionListener mListener;
-    private final MemberView mView = new MemberView();
+    private MemberView mView = new MemberView(Map.of());
     private boolean mViewKnown;
     private long mLease;
     private boolean mLeaseCall;
@@ -59,7 +59,7 @@
     void start() {
         keepLease();
         mTimers.every(RENEWAL, this::keepLease);
-        readMembers();
+        new PrefixWatch(mStore, mTimers, StoreKeys.MEMBERS, WATCH_WAIT, RETRY, this).start();
     }
 
     /** Gives the ownership up and does not run for it again. */
@@ -156,46 +156,17 @@
         }
     }
 
-    private void readMembers() {
-        mStore.read(
-                StoreKeys.MEMBERS,
-                false,
-                outcome -> {
-                    switch (outcome) {
-                        case ReadOutcome.Items items -> {
-                            storeState(true, "");
-                            mView.replace(items.items());
-                            mViewKnown = true;
-                            viewChanged();
-                            watch(items.revision());
-                        }
-                        case ReadOutcome.Unavailable away -> {
-                            storeState(false, away.reason());
-                            mTimers.after(RETRY, this::readMembers);
-                        }
-                    }
-                });
+    @Override
+    public void current(Map<String, StoreItem> items) {
+        storeState(true, "");
+        mView = new MemberView(items);
+        mViewKnown = true;
+        viewChanged();
     }
 
-    private void watch(long revision) {
-        mStore.watch(
-                StoreKeys.MEMBERS,
-                revision,
-                WATCH_WAIT,
-                outcome -> {
-                    switch (outcome) {
-                        case WatchOutcome.Events events -> {
-                            events.events().forEach(mView::apply);
-                            viewChanged();
-                            watch(events.revision());
-                        }
-                        case WatchOutcome.HistoryGone ignored -> readMembers();
-                        case WatchOutcome.Unavailable away -> {
-                            storeState(false, away.reason());
-                            mTimers.after(RETRY, this::readMembers);
-                        }
-                    }
-                });
+    @Override
+    public void unavailable(String reason) {
+        storeState(false, reason);
     }
 
     private void viewChanged() {
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryDirectory.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryDirectory.java
@@ -1,10 +1,15 @@
 package org.knapweedbank.node.entry;
 
+import static java.util.stream.Collectors.toMap;
+
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.knapweedbank.node.store.CoordinationStore;
 import org.knapweedbank.node.store.ReadOutcome;
+import org.knapweedbank.node.store.StoreItem;
 
 /** Finds the entries through the store. */
 public final class EntryDirectory {
@@ -21,11 +26,11 @@
                 StoreKeys.MEMBERS,
                 true,
                 outcome -> {
-                    MemberView view = new MemberView();
-                    if (outcome instanceof ReadOutcome.Items items) {
-                        view.replace(items.items());
-                    }
-                    done.accept(addresses(view));
+                    List<StoreItem> items =
+                            outcome instanceof ReadOutcome.Items read ? read.items() : List.of();
+                    Map<String, StoreItem> byKey =
+                            items.stream().collect(toMap(StoreItem::key, Function.identity()));
+                    done.accept(addresses(new MemberView(byKey)));
                 });
     }
 
--- a/node/src/main/java/org/knapweedbank/node/entry/MemberView.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/MemberView.java
@@ -2,27 +2,21 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.knapweedbank.node.store.StoreEvent;
 import org.knapweedbank.node.store.StoreItem;
 
-/** Copy of the membership keys of the store. */
+/** What the membership keys of the store say. */
 final class MemberView {
-    private final Map<String, StoreItem> mItems = new HashMap<>();
+    private final Map<String, StoreItem> mItems;
 
-    void replace(List<StoreItem> items) {
-        mItems.clear();
-        items.forEach(item -> mItems.put(item.key(), item));
-    }
-
-    void apply(StoreEvent event) {
-        if (event.removed()) {
-            mItems.remove(event.key());
-        } else {
-            mItems.put(event.key(), new StoreItem(event.key(), event.value(), event.revision()));
-        }
+    /**
+     * Creates a view of items.
+     *
+     * @param items the items by their keys
+     */
+    MemberView(Map<String, StoreItem> items) {
+        mItems = items;
     }
 
     /** The owner; empty if there is none or its record can't be read. */
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/store/PrefixWatchTest.java
@@ -0,0 +1,128 @@
+package org.knapweedbank.node.store;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.time.ManualClock;
+
+/** The copy of a prefix against a store that loses, cuts and forgets. */
+class PrefixWatchTest implements PrefixWatch.Listener {
+    private static final Duration RETRY = Duration.ofMillis(100);
+
+    private final ManualTimers mTimers = new ManualTimers(new ManualClock(Instant.EPOCH));
+    private final ScriptedStore mStore = new ScriptedStore();
+    private final List<Set<String>> mSeen = new ArrayList<>();
+    private final List<String> mFailures = new ArrayList<>();
+
+    @Override
+    public void current(Map<String, StoreItem> items) {
+        mSeen.add(items.keySet());
+    }
+
+    @Override
+    public void unavailable(String reason) {
+        mFailures.add(reason);
+    }
+
+    private void start() {
+        new PrefixWatch(mStore, mTimers, "p/", Duration.ofSeconds(1), RETRY, this).start();
+    }
+
+    private static ReadOutcome items(long revision, String... keys) {
+        List<StoreItem> items =
+                List.of(keys).stream().map(k -> new StoreItem(k, new byte[0], 1)).toList();
+        return new ReadOutcome.Items(items, revision);
+    }
+
+    /** Guards against an event that is lost between the read and the watch, or applied twice. */
+    @Test
+    void followsEventsFromTheRevisionOfTheRead() {
+        mStore.mReads.add(items(7, "p/a"));
+        mStore.mWatches.add(
+                new WatchOutcome.Events(List.of(new StoreEvent("p/b", new byte[0], 8)), 8));
+        mStore.mWatches.add(new WatchOutcome.Events(List.of(new StoreEvent("p/a", null, 9)), 9));
+        start();
+        assertThat(mStore.mRevisions).containsExactly(7L, 8L, 9L).inOrder();
+        assertThat(mSeen)
+                .containsExactly(Set.of("p/a"), Set.of("p/a", "p/b"), Set.of("p/b"))
+                .inOrder();
+    }
+
+    /** Guards against items that were removed while the history was forgotten and stay for ever. */
+    @Test
+    void readsAgainWhenTheHistoryIsGone() {
+        mStore.mReads.add(items(7, "p/a", "p/b"));
+        mStore.mWatches.add(new WatchOutcome.HistoryGone());
+        mStore.mReads.add(items(30, "p/b"));
+        start();
+        assertThat(mSeen.getLast()).containsExactly("p/b");
+        assertThat(mStore.mRevisions.getLast()).isEqualTo(30);
+    }
+
+    /** Guards against a copy that stands still after an outage, and against a busy loop in it. */
+    @Test
+    void readsAgainAfterAPauseWhenTheStoreIsAway() {
+        mStore.mReads.add(items(7, "p/a"));
+        mStore.mWatches.add(new WatchOutcome.Unavailable("cut"));
+        mStore.mReads.add(new ReadOutcome.Unavailable("busy"));
+        mStore.mReads.add(items(9, "p/c"));
+        start();
+        assertThat(mFailures).containsExactly("cut");
+        mTimers.pass(RETRY);
+        assertThat(mFailures).containsExactly("cut", "busy").inOrder();
+        mTimers.pass(RETRY);
+        assertThat(mSeen.getLast()).containsExactly("p/c");
+    }
+
+    /** Store that answers reads and watches as scripted; a call beyond the script stays open. */
+    private static final class ScriptedStore implements CoordinationStore {
+        final Deque<ReadOutcome> mReads = new ArrayDeque<>();
+        final Deque<WatchOutcome> mWatches = new ArrayDeque<>();
+        final List<Long> mRevisions = new ArrayList<>();
+
+        @Override
+        public void read(String prefix, boolean stale, Consumer<ReadOutcome> done) {
+            if (!mReads.isEmpty()) {
+                done.accept(mReads.poll());
+            }
+        }
+
+        @Override
+        public void watch(String prefix, long after, Duration wait, Consumer<WatchOutcome> done) {
+            mRevisions.add(after);
+            if (!mWatches.isEmpty()) {
+                done.accept(mWatches.poll());
+            }
+        }
+
+        @Override
+        public void write(StoreChange change, Consumer<WriteOutcome> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void openLease(Duration ttl, Consumer<LeaseOutcome> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void renewLease(long lease, Consumer<LeaseOutcome> done) {
+            throw new UnsupportedOperationException();
+        }
+
+        @Override
+        public void endLease(long lease, Consumer<LeaseOutcome> done) {
+            throw new UnsupportedOperationException();
+        }
+    }
+}
