Hand the ownership over when the store turns away just the owner

Cause: with the store refusing only the owner, another entry was elected when the lease had lapsed (2 s), but the agents stayed linked to the former owner, which nobody told, and which answered them. Found in the log: election.won at 4.1 s, the first vm.joined at 11.7 s.

Ruled out: the election (won 1.6 s after the loss); the agents' search (20 ms once the former owner lets them go).

Change: entries that learn of a later term tell the former owner over the link they have to it (Superseded); it ends its duty and redirects. An owner whose writes fail for 0.6 s asks the entries to take over (TakeOver); one stands at once, against the present key, if the store renews its lease there. An outage of the whole store changes no owner that way.

Tests: word of a later term frees the agents; word of the own term does not; the asked entry wins in place of a living owner; it stays back while the store is away for it too.

--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -180,7 +180,7 @@
         } else if (mOwnTerm > 0 && mView.term() == mOwnTerm) {
             mListener.confirmed(mOwnTerm);
         } else if (!own) {
-            owner.ifPresent(o -> mListener.ownerAt(o.address()));
+            owner.ifPresent(o -> mListener.ownerAt(o.address(), o.term()));
         }
         consider();
     }
@@ -219,8 +219,40 @@
         return fields.length < 2 ? 0 : Double.parseDouble(fields[1]);
     }
 
+    /**
+     * Stands against an owner that lives but can't write, if the store answers here. An outage of
+     * the whole store changes nothing that way.
+     *
+     * @param term term of the owner that asks for it
+     */
+    void takeOver(long term) {
+        if (mOwnTerm > 0 || mCandidacy || mResigned || mLease == 0 || mView.term() != term) {
+            return;
+        }
+        mCandidacy = true;
+        mLog.record("election.asked", term);
+        mStore.renewLease(
+                mLease,
+                outcome -> {
+                    if (outcome instanceof LeaseOutcome.Held && mView.term() == term) {
+                        run();
+                    } else {
+                        mCandidacy = false;
+                    }
+                });
+    }
+
     private void stand() {
-        if (mView.ownerRevision() != 0 || mResigned || mLease == 0) {
+        if (mView.ownerRevision() != 0) {
+            mCandidacy = false;
+        } else {
+            run();
+        }
+    }
+
+    /** Writes the owner's key in place of the one that is known, if any. */
+    private void run() {
+        if (mResigned || mLease == 0) {
             mCandidacy = false;
             return;
         }
@@ -231,7 +263,7 @@
                         mSettings.node().value(), mSettings.process(), mSettings.address(), term);
         StoreChange change =
                 new StoreChange()
-                        .expect(StoreKeys.OWNER, 0)
+                        .expect(StoreKeys.OWNER, mView.ownerRevision())
                         .expect(StoreKeys.TERM, mView.termRevision())
                         .put(StoreKeys.OWNER, record.encode(), mLease);
         if (!again) {
@@ -285,6 +317,17 @@
         }
     }
 
+    /**
+     * Takes word of another entry that a later term has begun, which the store may not tell.
+     *
+     * @param term the later term
+     */
+    void superseded(long term) {
+        if (mOwnTerm > 0 && term > mOwnTerm) {
+            depose(term);
+        }
+    }
+
     private void storeState(boolean reached, String cause) {
         if (reached == mStoreAway) {
             mStoreAway = !reached;
--- a/node/src/main/java/org/knapweedbank/node/entry/ElectionListener.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/ElectionListener.java
@@ -11,6 +11,6 @@
     /** A term later than that of this entry has begun. */
     void deposed(long term);
 
-    /** Another entry is the owner. */
-    void ownerAt(String address);
+    /** Another entry is the owner of a term. */
+    void ownerAt(String address, long term);
 }
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
@@ -134,6 +134,7 @@
     public void elected(long term, long termRevision) {
         mHighestTerm = Math.max(mHighestTerm, term);
         mOwnerAddress = mSettings.address();
+        mConnector.send(new NodeMessage.Superseded(term, mSettings.address()));
         mConnector.stop();
         OwnerDuty duty =
                 new OwnerDuty(
@@ -163,7 +164,10 @@
     }
 
     @Override
-    public void ownerAt(String address) {
+    public void ownerAt(String address, long term) {
+        if (!address.equals(mOwnerAddress) && term > mHighestTerm) {
+            mConnector.send(new NodeMessage.Superseded(term, address));
+        }
         mOwnerAddress = address;
         mConnector.hint(address);
     }
@@ -215,10 +219,10 @@
 
     @Override
     public void received(NodeMessage message) {
-        if (message instanceof NodeMessage.Reply reply) {
-            mRouter.replied(reply.number(), reply.answer());
-        } else {
-            mLog.record("entry.unexpected", message.getClass().getSimpleName());
+        switch (message) {
+            case NodeMessage.Reply reply -> mRouter.replied(reply.number(), reply.answer());
+            case NodeMessage.TakeOver request -> mElection.takeOver(request.term());
+            default -> mLog.record("entry.unexpected", message.getClass().getSimpleName());
         }
     }
 
@@ -251,6 +255,18 @@
         }
     }
 
+    /**
+     * Gives the ownership up when another entry knows a later owner. The store may turn away just
+     * this entry, whose agents would otherwise stay with an owner that can store nothing.
+     */
+    private void superseded(long term, String owner) {
+        if (mDuty != null && term > mDuty.term()) {
+            mLog.record("owner.superseded", mDuty.term(), "newest", term, "owner", owner);
+            mElection.superseded(term);
+            ownerAt(owner, term);
+        }
+    }
+
     private void handOver(Runnable done) {
         if (mDuty == null) {
             mElection.resign(done);
@@ -275,6 +291,10 @@
 
         @Override
         public void received(NodeMessage message) {
+            if (message instanceof NodeMessage.Superseded word) {
+                superseded(word.term(), word.owner());
+                return;
+            }
             if (mListener != null) {
                 mListener.received(message);
                 return;
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
@@ -41,6 +41,12 @@
      */
     private static final long STORE_PATIENCE_MILLIS = 700;
 
+    /**
+     * Time without a successful write after which other entries are asked to take over. It leaves a
+     * slow store alone and is well below the lease, whose end would change the owner anyway.
+     */
+    private static final long HAND_OVER_MILLIS = 600;
+
     private static final Duration STORE_RETRY_AFTER = Duration.ofSeconds(1);
 
     private final EntrySettings mSettings;
@@ -58,6 +64,7 @@
     private JobOwner mOwner;
     private RecordWriter mWriter;
     private Runnable mTimer = () -> {};
+    private long mAskedAt = Long.MIN_VALUE / 2;
     private boolean mSchedulePending;
     private boolean mStopped;
 
@@ -340,11 +347,22 @@
         mSchedulePending = false;
         if (ready()) {
             failing();
+            askForTakeover();
             mOwner.schedule();
             mWriter.pump();
         }
     }
 
+    /** Asks the entries to take over while the store refuses this one's writes. */
+    private void askForTakeover() {
+        long now = mClock.monotonicMillis();
+        boolean due = mWriter.failing().toMillis() > HAND_OVER_MILLIS && mWriter.failed();
+        if (due && now - mAskedAt > HAND_OVER_MILLIS) {
+            mAskedAt = now;
+            mEntries.forEach(link -> link.send(new NodeMessage.TakeOver(mTerm)));
+        }
+    }
+
     private void send(DaemonId agent, NodeMessage message) {
         AgentLink link = mAgents.get(agent);
         if (link != null) {
--- a/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -83,6 +83,11 @@
         return since < 0 ? Duration.ZERO : Duration.ofMillis(mClock.monotonicMillis() - since);
     }
 
+    /** Tells whether the last write had an outcome other than success. */
+    boolean failed() {
+        return mFailingSince >= 0;
+    }
+
     /** Tells whether a write of the job is under way or may still be made. */
     boolean uncertain(Job job) {
         return mUncertain.contains(job) || mUnderWay.contains(job);
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -51,6 +51,8 @@
     private static final int CALL = 16;
     private static final int REPLY = 17;
     private static final int DESCRIBE = 18;
+    private static final int SUPERSEDED = 19;
+    private static final int TAKE_OVER = 20;
 
     private NodeCodec() {}
 
@@ -80,6 +82,9 @@
             case NodeMessage.EntryHello m -> out.packInt(ENTRY_HELLO).packString(m.entry().value());
             case NodeMessage.Welcome m -> out.packInt(WELCOME).packLong(m.term());
             case NodeMessage.Redirect m -> out.packInt(REDIRECT).packString(m.owner());
+            case NodeMessage.Superseded m ->
+                    out.packInt(SUPERSEDED).packLong(m.term()).packString(m.owner());
+            case NodeMessage.TakeOver m -> out.packInt(TAKE_OVER).packLong(m.term());
             case NodeMessage.Ping m -> out.packInt(PING).packLong(m.number());
             case NodeMessage.Pong m -> out.packInt(PONG).packLong(m.number());
             case NodeMessage.Report m -> packReport(out.packInt(REPORT), m.report());
@@ -128,6 +133,8 @@
             case ENTRY_HELLO -> new NodeMessage.EntryHello(new DaemonId(in.unpackString()));
             case WELCOME -> new NodeMessage.Welcome(in.unpackLong());
             case REDIRECT -> new NodeMessage.Redirect(in.unpackString());
+            case SUPERSEDED -> new NodeMessage.Superseded(in.unpackLong(), in.unpackString());
+            case TAKE_OVER -> new NodeMessage.TakeOver(in.unpackLong());
             case PING -> new NodeMessage.Ping(in.unpackLong());
             case PONG -> new NodeMessage.Pong(in.unpackLong());
             case REPORT -> new NodeMessage.Report(unpackReport(in));
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -153,6 +153,22 @@
      */
     record Call(long number, CallRequest request) implements NodeMessage {}
 
+    /**
+     * Word to a former owner, which may be cut off from the store and not know that it is one.
+     *
+     * @param term term of the present owner
+     * @param owner address of the present owner
+     */
+    record Superseded(long term, String owner) implements NodeMessage {}
+
+    /**
+     * Request of an owner whose writes fail to an entry: to take the ownership over if the store
+     * answers there.
+     *
+     * @param term term of the asking owner
+     */
+    record TakeOver(long term) implements NodeMessage {}
+
     /**
      * Answer of the owner.
      *
--- a/node/src/main/java/org/knapweedbank/node/link/OwnerConnector.java
+++ b/node/src/main/java/org/knapweedbank/node/link/OwnerConnector.java
@@ -71,6 +71,17 @@
         }
     }
 
+    /**
+     * Sends a message to the connected owner, if there is one.
+     *
+     * @param message the message
+     */
+    public void send(NodeMessage message) {
+        if (mOwner != null) {
+            mOwner.send(message);
+        }
+    }
+
     /**
      * Takes news of the owner's address.
      *
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -53,7 +53,7 @@
         }
 
         @Override
-        public void ownerAt(String address) {
+        public void ownerAt(String address, long term) {
             mOwner = address;
         }
     }
@@ -72,6 +72,47 @@
         assertThat(first.mOwner + second.mOwner).isNotEmpty();
     }
 
+    /** Guards against jobs that wait for the lease of an owner that knows that it can't write. */
+    @Test
+    void askedEntryTakesOverFromALivingOwner() {
+        Candidate first = new Candidate("a", 1);
+        pass(3);
+        Candidate second = new Candidate("b", 1);
+        pass(2);
+        second.mElection.takeOver(1);
+        mTimers.pass(Duration.ofMillis(50));
+        assertThat(first.mWon).containsExactly(1L);
+        assertThat(second.mWon).containsExactly(2L);
+        pass(2);
+        assertThat(first.mDeposed).isEqualTo(1);
+    }
+
+    /** Guards against a change of the owner for an outage that the other entry sees as well. */
+    @Test
+    void askedEntryStaysBackWhileTheStoreIsAway() {
+        new Candidate("a", 1);
+        pass(3);
+        Candidate second = new Candidate("b", 1);
+        pass(2);
+        mStore.mAway = true;
+        second.mElection.takeOver(1);
+        pass(1);
+        mStore.mAway = false;
+        pass(2);
+        assertThat(second.mWon).isEmpty();
+    }
+
+    /** Guards against an owner that goes on because the store does not tell it of a later term. */
+    @Test
+    void wordOfALaterTermDeposesTheOwner() {
+        Candidate first = new Candidate("a", 1);
+        pass(3);
+        first.mElection.superseded(1);
+        assertThat(first.mDeposed).isEqualTo(0);
+        first.mElection.superseded(2);
+        assertThat(first.mDeposed).isEqualTo(1);
+    }
+
     /** Guards against a deployment without an owner after its loss. */
     @Test
     void resignedOwnerIsFollowedByALaterTerm() {
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
@@ -0,0 +1,117 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.link.Link;
+import org.knapweedbank.node.link.LinkListener;
+import org.knapweedbank.node.link.Links;
+import org.knapweedbank.node.link.NodeMessage;
+import org.knapweedbank.time.ManualClock;
+
+/** An entry that owns the jobs, with an agent and another entry connected. */
+class EntryNodeTest implements Links {
+    private static final Duration TTL = Duration.ofSeconds(2);
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final FakeStore mStore = new FakeStore(mTimers);
+    private final List<String> mConnects = new ArrayList<>();
+    private Function<Link, LinkListener> mAcceptor;
+
+    @Override
+    public void connect(
+            String address, Function<Link, LinkListener> listener, Consumer<String> failed) {
+        mConnects.add(address);
+    }
+
+    @Override
+    public void listen(String host, int port, Function<Link, LinkListener> listener) {
+        mAcceptor = listener;
+    }
+
+    @BeforeEach
+    void start() {
+        OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, TTL, TTL, TTL, 1);
+        EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, TTL, owner);
+        new EntryNode(settings, mClock, mTimers, mStore, this, DecisionLog.NONE)
+                .start(listener -> {});
+        mTimers.pass(Duration.ofSeconds(3));
+    }
+
+    private Peer peer(NodeMessage hello) {
+        Peer peer = new Peer();
+        peer.mListener = mAcceptor.apply(peer);
+        peer.mListener.received(hello);
+        return peer;
+    }
+
+    private Peer agent() {
+        return peer(new NodeMessage.AgentHello(new DaemonId("a"), 1, new DataCentreId("dc")));
+    }
+
+    private Peer entry() {
+        return peer(new NodeMessage.EntryHello(new DaemonId("f")));
+    }
+
+    /**
+     * Guards against agents that stay with an owner that the store turns away, while a later owner
+     * waits for them.
+     */
+    @Test
+    void ownerLetsItsAgentsGoWhenAnotherEntryKnowsALaterOne() {
+        Peer agent = agent();
+        Peer entry = entry();
+        assertThat(agent.mSent.getFirst()).isInstanceOf(NodeMessage.Welcome.class);
+        mStore.mAway = true;
+        entry.mListener.received(new NodeMessage.Superseded(2, "f:1"));
+        assertThat(agent.mClosed).isTrue();
+        Peer again = agent();
+        assertThat(again.mSent).containsExactly(new NodeMessage.Redirect("f:1"));
+        assertThat(mConnects).contains("f:1");
+    }
+
+    /** Guards against an owner that gives up for word of its own or an earlier term. */
+    @Test
+    void ownerStaysForWordOfItsOwnTerm() {
+        Peer agent = agent();
+        entry().mListener.received(new NodeMessage.Superseded(1, "f:1"));
+        assertThat(agent.mClosed).isFalse();
+    }
+
+    /** Other side of an incoming link. */
+    private static final class Peer implements Link {
+        private final List<NodeMessage> mSent = new ArrayList<>();
+        private LinkListener mListener;
+        private boolean mClosed;
+
+        @Override
+        public void send(NodeMessage message) {
+            mSent.add(message);
+        }
+
+        @Override
+        public void close(String reason) {
+            if (!mClosed) {
+                mClosed = true;
+                mListener.closed(reason);
+            }
+        }
+
+        @Override
+        public String remote() {
+            return "peer";
+        }
+    }
+}
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -70,6 +70,8 @@
                 new NodeMessage.EntryHello(new DaemonId("e")),
                 new NodeMessage.Welcome(9),
                 new NodeMessage.Redirect("host:1"),
+                new NodeMessage.Superseded(3, "host:1"),
+                new NodeMessage.TakeOver(3),
                 new NodeMessage.Ping(1),
                 new NodeMessage.Pong(1),
                 new NodeMessage.Report(report),
