Find a new owner sooner after the old one is lost, and let no batch job stand still

And since fillers are placed by the utilization at full pace, a job could wait for ever on a deployment whose VMs all have a serving task near its limit.

A filler whose job has had nothing running for 1.5 s takes any room (FillerPatience); each such job starts one task at a time. OwnerConnectorTest and PlacementTest fail without the change.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
@@ -55,7 +55,9 @@
 
     private void move(Attempt attempt, List<Vm> vms) {
         List<Vm> others = vms.stream().filter(vm -> vm != attempt.mVm).toList();
-        Optional<Vm> target = VmSelector.select(attempt.mTask, others, true, mState.mPressure);
+        Optional<Vm> target =
+                VmSelector.select(
+                        attempt.mTask, others, FillerPatience.FULL_PACE, mState.mPressure);
         if (target.isPresent()) {
             target.get().claim(attempt.mTask, mState.now() + CLAIM_MILLIS);
             attempt.mTask.mMoves++;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -22,6 +22,9 @@
     boolean mFailed;
     boolean mStarted;
 
+    /** When a task of the job last ran or, if none did, when it was first looked at; -1 before. */
+    long mBusyAt = -1;
+
     /** True for a job that an earlier owner accepted. */
     boolean mInherited;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
@@ -76,9 +76,13 @@
     }
 
     private Optional<Vm> choose(Collection<Vm> vms) {
+        Map<String, Long> lacking = new HashMap<>();
         return vms.stream()
                 .filter(vm -> vm.mServingCpu > 0 && servingShare(vm) <= MAX_SERVING_SHARE)
-                .filter(vm -> lackingCpu(service(vm)) >= capacity(vm) * LEAST_DEMAND_SHARE)
+                .filter(
+                        vm ->
+                                lacking.computeIfAbsent(service(vm), this::lackingCpu)
+                                        >= capacity(vm) * LEAST_DEMAND_SHARE)
                 .filter(vm -> fitsElsewhere(vm, vms))
                 .min(
                         Comparator.comparingDouble(ServingConsolidator::servingShare)
@@ -147,7 +151,13 @@
                 .filter(vm -> vm != attempt.mVm && vm.mServingCpu > 0)
                 .filter(vm -> service(vm).equals(service(attempt.mVm)))
                 .filter(vm -> servingShare(vm) > servingShare(attempt.mVm))
-                .filter(vm -> VmSelector.allowed(attempt.mTask, vm, true, mState.mPressure))
+                .filter(
+                        vm ->
+                                VmSelector.allowed(
+                                        attempt.mTask,
+                                        vm,
+                                        FillerPatience.FULL_PACE,
+                                        mState.mPressure))
                 .sorted(Comparator.comparingLong(vm -> vm.free().milliCpu()))
                 .toList();
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -16,6 +16,9 @@
     /** Part of the objective for which a filler waits for a VM with its whole demand to spare. */
     private static final int PATIENCE_DIVISOR = 4;
 
+    /** Time without a running task after which a job takes any room for one. */
+    private static final long LONGEST_IDLE_MILLIS = 1_500;
+
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
     private final VmTracker mVms;
@@ -96,23 +99,35 @@
                 && !vm.mHealth.suspended(mState.now());
     }
 
-    /** Tells whether a job may still wait for room that serves it well. */
-    private boolean patient(Job job) {
+    /** How long fillers of a job may still wait for room that serves them well. */
+    private FillerPatience patience(Job job) {
+        boolean idle = job.tasks().allMatch(task -> task.mAttempt == null);
+        if (!idle || job.mBusyAt < 0) {
+            job.mBusyAt = mState.now();
+        } else if (mState.now() - job.mBusyAt > LONGEST_IDLE_MILLIS) {
+            return FillerPatience.CRAWL;
+        }
         Instant accepted = job.accepted();
         Instant limit = accepted.plus(JobUrgency.objective(job).dividedBy(PATIENCE_DIVISOR));
-        return mState.mClock.wallTime().isBefore(limit);
+        return mState.mClock.wallTime().isBefore(limit)
+                ? FillerPatience.FULL_PACE
+                : FillerPatience.SLOW;
     }
 
     private void placeStep(Step step, List<Vm> vms) {
+        FillerPatience patience = patience(step.mJob);
         for (Task task : step.mTasks) {
             if (!task.waiting() || mState.now() < task.mNotBefore) {
                 continue;
             }
-            Optional<Vm> vm = VmSelector.select(task, vms, patient(step.mJob), mState.mPressure);
+            Optional<Vm> vm = VmSelector.select(task, vms, patience, mState.mPressure);
             if (vm.isEmpty()) {
                 return;
             }
             mAttempts.start(task, vm.get());
+            if (patience == FillerPatience.CRAWL) {
+                return;
+            }
         }
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -19,24 +19,12 @@
     /** Share of the processor time reserved by serving tasks that they leave to fillers. */
     private static final double UNUSED_BY_SERVING = 0.3;
 
-    /** Part of a filler's demand that has to be spare for it to be worth a start. */
-    private static final double FILLER_DEMAND_PART = 0.9;
-
-    /** As above, for a filler that has waited; it would rather be slow than not run. */
-    private static final double IMPATIENT_DEMAND_PART = 0.5;
-
     /** Weight of the disturbance of serving tasks, against spare processor time. */
     private static final double DISTURBANCE = 4;
 
     /** Utilization of a serving task up to which its latency stays well within its objective. */
     private static final double ALLOWED_UTILIZATION = 0.7;
 
-    /** Disturbance that a filler may cause while it can still wait for a better VM. */
-    private static final double PATIENT_DISTURBANCE = 0.05;
-
-    /** As above, for a filler that has waited; the agent paces what is too much. */
-    private static final double IMPATIENT_DISTURBANCE = 0.15;
-
     /** Factor of pressure from which a filler has the full right to VMs without serving tasks. */
     private static final double HEAVY_FACTOR = 0.4;
 
@@ -63,20 +51,20 @@
      * @param task the task
      * @param vms VMs that accept tasks of its service
      * @param pressure how much fillers disturb serving tasks
-     * @param patient true if a filler may still wait for a VM with its whole demand to spare
+     * @param patience what a filler demands of a VM
      * @return the best VM with room, empty if there is none
      */
     static Optional<Vm> select(
-            Task task, Collection<Vm> vms, boolean patient, PressureEstimator pressure) {
+            Task task, Collection<Vm> vms, FillerPatience patience, PressureEstimator pressure) {
         return vms.stream()
-                .filter(vm -> allowed(task, vm, patient, pressure))
+                .filter(vm -> allowed(task, vm, patience, pressure))
                 .min(
                         Comparator.<Vm>comparingDouble(vm -> score(task, vm, pressure))
                                 .thenComparing(vm -> vm.mAgent.value()));
     }
 
     /** Tells whether a VM has room for a task and fits its demands. */
-    static boolean allowed(Task task, Vm vm, boolean patient, PressureEstimator pressure) {
+    static boolean allowed(Task task, Vm vm, FillerPatience patience, PressureEstimator pressure) {
         Step step = task.mStep;
         StepSpec spec = step.mSpec;
         PlacementRule rule = spec.placement();
@@ -86,16 +74,14 @@
         return labelled
                 && spec.reservation().fitsIn(vm.free())
                 && (rule.maxPerVm() == 0 || vm.attemptsOf(step) < rule.maxPerVm())
-                && (!spec.traits().filler() || worthFilling(task, vm, patient, pressure));
+                && (!spec.traits().filler() || worthFilling(task, vm, patience, pressure));
     }
 
     private static boolean worthFilling(
-            Task task, Vm vm, boolean patient, PressureEstimator pressure) {
+            Task task, Vm vm, FillerPatience patience, PressureEstimator pressure) {
         StepSpec spec = task.mStep.mSpec;
-        double part = patient ? FILLER_DEMAND_PART : IMPATIENT_DEMAND_PART;
-        double limit = patient ? PATIENT_DISTURBANCE : IMPATIENT_DISTURBANCE;
-        return usableSpare(task, vm) >= spec.perTask().milliCpu() * part
-                && disturbance(spec, vm, pressure) <= limit;
+        return usableSpare(task, vm) >= spec.perTask().milliCpu() * patience.mDemandPart
+                && disturbance(spec, vm, pressure) <= patience.mDisturbance;
     }
 
     /**
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
@@ -99,6 +99,20 @@
                 -1);
     }
 
+    /** A step of standing tasks that serve users. */
+    static StepSpec serving(int count, long cpu, int budget) {
+        return new StepSpec(
+                count,
+                new Resources(cpu, 100, 0),
+                Duration.ZERO,
+                List.of(),
+                new StepTraits(false, false, false, true, false),
+                PlacementRule.ANYWHERE,
+                "web",
+                Duration.ofMillis(50),
+                budget);
+    }
+
     Job submit(String id, StepSpec... steps) {
         JobSubmission submission =
                 new JobSubmission(new JobId(id), "text", List.of(steps), Timetable.ONCE);
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.model.Resources;
@@ -104,4 +105,22 @@
         mWorld.store();
         assertThat(mWorld.last().mVm().value()).isEqualTo("a");
     }
+
+    /** Guards against a job that never runs because each VM has a serving task near its limit. */
+    @Test
+    void fillerOfAnIdleJobTakesAnyRoom() {
+        mWorld.join("a", 8_000);
+        mWorld.submit("web", OwnerWorld.serving(1, 4_000, -1));
+        mWorld.store();
+        OwnerWorld.Order web = mWorld.last();
+        RunningTask nearLimit = new RunningTask(web.mTask(), web.mRun(), "", 100, 48);
+        mWorld.mOwner.progress(
+                web.mVm(), OwnerWorld.worker("a", 1, 0, false).id(), List.of(nearLimit));
+        mWorld.submit("filler", OwnerWorld.step(2, 3_500, FILLER));
+        mWorld.store();
+        mWorld.pass(Duration.ofMillis(1_400), "a");
+        assertThat(mWorld.mStarts).hasSize(1);
+        mWorld.pass(Duration.ofMillis(200), "a");
+        assertThat(mWorld.mStarts).hasSize(2);
+    }
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ServingConsolidatorTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ServingConsolidatorTest.java
@@ -7,44 +7,27 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.EndKind;
-import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.RunningTask;
-import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
-import org.knapweedbank.model.Resources;
 
 /** Serving tasks that are spread over VMs on which fillers wait for room. */
 class ServingConsolidatorTest {
     private static final StepTraits FILLER = new StepTraits(true, false, false, false, true);
-    private static final StepTraits LASTING = new StepTraits(false, false, false, true, false);
 
     private final OwnerWorld mWorld = new OwnerWorld();
     private final List<OwnerWorld.Order> mServing = new ArrayList<>();
 
-    private static StepSpec serving(int count, long cpu, int budget) {
-        return new StepSpec(
-                count,
-                new Resources(cpu, 100, 0),
-                Duration.ZERO,
-                List.of(),
-                LASTING,
-                PlacementRule.ANYWHERE,
-                "web",
-                Duration.ofMillis(50),
-                budget);
-    }
-
     /** Two VMs, the second with a small serving task of a job with the given budget. */
     private void spread(int budget) {
         mWorld.join("a", 8_000);
-        mWorld.submit("large", serving(1, 6_000, -1));
+        mWorld.submit("large", OwnerWorld.serving(1, 6_000, -1));
         mWorld.store();
         mServing.add(mWorld.last());
         mWorld.submit("wide", OwnerWorld.step(1, 2_000, StepTraits.BATCH));
         mWorld.store();
         OwnerWorld.Order batch = mWorld.last();
         mWorld.join("b", 8_000);
-        mWorld.submit("small", serving(1, 1_000, budget));
+        mWorld.submit("small", OwnerWorld.serving(1, 1_000, budget));
         mWorld.store();
         mServing.add(mWorld.last());
         mWorld.started(batch);
--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -21,7 +21,7 @@
  * which each takeover raises, and whose revision guards each of its writes.
  */
 final class Election implements PrefixWatch.Listener {
-    private static final Duration RENEWAL = Duration.ofMillis(600);
+    private static final Duration RENEWAL = Duration.ofMillis(450);
     private static final Duration WATCH_WAIT = Duration.ofMillis(1_000);
     private static final Duration RETRY = Duration.ofMillis(200);
 
--- a/node/src/main/java/org/knapweedbank/node/link/OwnerConnector.java
+++ b/node/src/main/java/org/knapweedbank/node/link/OwnerConnector.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.DecisionLog;
@@ -25,6 +26,10 @@
     private final Consumer<Consumer<List<String>>> mRefresh;
     private List<String> mEntries = List.of();
     private String mHint = "";
+
+    /** Address at which the owner was lost; it is tried after all others. */
+    private String mLostAt = "";
+
     private int mNext;
     private Link mOwner;
     private int mAttempt;
@@ -90,6 +95,7 @@
     public void hint(String address) {
         if (!address.isEmpty() && !address.equals(mHint)) {
             mHint = address;
+            mLostAt = "";
             mNext = 0;
             if (mOwner != null) {
                 mOwner.close("the owner has changed");
@@ -119,6 +125,7 @@
             candidates.add(mHint);
         }
         candidates.addAll(mEntries);
+        candidates.sort(Comparator.comparing(mLostAt::equals));
         int attempt = ++mAttempt;
         if (candidates.isEmpty()) {
             retry(attempt);
@@ -175,6 +182,8 @@
         public void closed(String reason) {
             if (mOwner == mLink) {
                 mOwner = null;
+                mLostAt = mAddress;
+                mNext = 0;
                 mLog.record("owner.lost", mAddress, "cause", reason);
                 mListener.disconnected();
                 mTimers.after(Duration.ZERO, OwnerConnector.this::search);
@@ -190,16 +199,18 @@
             }
             mOwner = mLink;
             mHint = mAddress;
+            mLostAt = "";
             mNext = 0;
             mLog.record("owner.connected", mAddress, "term", term);
             mListener.connected(mLink, term);
         }
 
         private void redirected(String owner) {
-            if (!owner.isEmpty() && !owner.equals(mAddress)) {
+            boolean known = !owner.isEmpty() && !owner.equals(mLostAt);
+            if (known && !owner.equals(mAddress)) {
                 mHint = owner;
             }
-            if (!owner.isEmpty() || mAddress.equals(mHint)) {
+            if (known || mAddress.equals(mHint)) {
                 mNext = 0;
             }
             mLink.close("not the owner");
--- a/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
+++ b/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
@@ -16,9 +16,14 @@
     private static final int LENGTH_BYTES = 4;
     private static final int MAX_FRAME_BYTES = 4 << 20;
     private static final int MAX_QUEUED_BYTES = 8 << 20;
-    private static final long CHECK_MILLIS = 500;
-    private static final long IDLE_MILLIS = 900;
-    private static final long SILENCE_MILLIS = 2_500;
+    private static final long CHECK_MILLIS = 300;
+    private static final long IDLE_MILLIS = 500;
+
+    /**
+     * Silence after which a link is closed: below the time in which a new owner is elected, so that
+     * agents look for it when it is there, and above several lost packets.
+     */
+    private static final long SILENCE_MILLIS = 1_500;
 
     private final Vertx mVertx;
     private final NetSocket mSocket;
--- a/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
@@ -14,6 +14,7 @@
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.link.FakeLink;
 import org.knapweedbank.node.link.Link;
 import org.knapweedbank.node.link.LinkListener;
 import org.knapweedbank.node.link.Links;
@@ -50,18 +51,18 @@
         mTimers.pass(Duration.ofSeconds(3));
     }
 
-    private Peer peer(NodeMessage hello) {
-        Peer peer = new Peer();
+    private FakeLink peer(NodeMessage hello) {
+        FakeLink peer = new FakeLink();
         peer.mListener = mAcceptor.apply(peer);
         peer.mListener.received(hello);
         return peer;
     }
 
-    private Peer agent() {
+    private FakeLink agent() {
         return peer(new NodeMessage.AgentHello(new DaemonId("a"), 1, new DataCentreId("dc")));
     }
 
-    private Peer entry() {
+    private FakeLink entry() {
         return peer(new NodeMessage.EntryHello(new DaemonId("f")));
     }
 
@@ -71,13 +72,13 @@
      */
     @Test
     void ownerLetsItsAgentsGoWhenAnotherEntryKnowsALaterOne() {
-        Peer agent = agent();
-        Peer entry = entry();
+        FakeLink agent = agent();
+        FakeLink entry = entry();
         assertThat(agent.mSent.getFirst()).isInstanceOf(NodeMessage.Welcome.class);
         mStore.mAway = true;
         entry.mListener.received(new NodeMessage.Superseded(2, "f:1"));
         assertThat(agent.mClosed).isTrue();
-        Peer again = agent();
+        FakeLink again = agent();
         assertThat(again.mSent).containsExactly(new NodeMessage.Redirect("f:1"));
         assertThat(mConnects).contains("f:1");
     }
@@ -85,33 +86,8 @@
     /** Guards against an owner that gives up for word of its own or an earlier term. */
     @Test
     void ownerStaysForWordOfItsOwnTerm() {
-        Peer agent = agent();
+        FakeLink agent = agent();
         entry().mListener.received(new NodeMessage.Superseded(1, "f:1"));
         assertThat(agent.mClosed).isFalse();
     }
-
-    /** Other side of an incoming link. */
-    private static final class Peer implements Link {
-        private final List<NodeMessage> mSent = new ArrayList<>();
-        private LinkListener mListener;
-        private boolean mClosed;
-
-        @Override
-        public void send(NodeMessage message) {
-            mSent.add(message);
-        }
-
-        @Override
-        public void close(String reason) {
-            if (!mClosed) {
-                mClosed = true;
-                mListener.closed(reason);
-            }
-        }
-
-        @Override
-        public String remote() {
-            return "peer";
-        }
-    }
 }
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/link/FakeLink.java
@@ -0,0 +1,34 @@
+package org.knapweedbank.node.link;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** Link that notes what is sent and tells its listener when it is closed. */
+public final class FakeLink implements Link {
+    /** What was sent, in order. */
+    public final List<NodeMessage> mSent = new ArrayList<>();
+
+    /** Receives what the test makes arrive. */
+    public LinkListener mListener;
+
+    /** True once the link is closed. */
+    public boolean mClosed;
+
+    @Override
+    public void send(NodeMessage message) {
+        mSent.add(message);
+    }
+
+    @Override
+    public void close(String reason) {
+        if (!mClosed) {
+            mClosed = true;
+            mListener.closed(reason);
+        }
+    }
+
+    @Override
+    public String remote() {
+        return "peer";
+    }
+}
--- a/node/src/test/java/org/knapweedbank/node/link/OwnerConnectorTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/OwnerConnectorTest.java
@@ -42,27 +42,6 @@
         public void listen(String host, int port, Function<Link, LinkListener> listener) {}
     }
 
-    private static final class FakeLink implements Link {
-        private LinkListener mListener;
-        private boolean mClosed;
-
-        @Override
-        public void send(NodeMessage message) {}
-
-        @Override
-        public void close(String reason) {
-            if (!mClosed) {
-                mClosed = true;
-                mListener.closed(reason);
-            }
-        }
-
-        @Override
-        public String remote() {
-            return "peer";
-        }
-    }
-
     private final class Listener implements OwnerListener {
         @Override
         public boolean acceptable(long term) {
@@ -132,6 +111,25 @@
         assertThat(mTerms).isEmpty();
     }
 
+    /**
+     * Guards against seconds lost at a dead owner: entries that have not learned of its loss still
+     * redirect there, while another one has taken over.
+     */
+    @Test
+    void lostOwnerIsTriedAfterAllOtherEntries() {
+        mAnswers.put("old:1", new NodeMessage.Welcome(1));
+        mAnswers.put("b:1", new NodeMessage.Redirect("old:1"));
+        mAnswers.put("new:1", new NodeMessage.Welcome(2));
+        connector("old:1", "b:1", "new:1");
+        assertThat(mTerms).containsExactly(1L);
+        mAnswers.remove("old:1");
+        mTried.clear();
+        mOwner.close("silent");
+        mTimers.pass(Duration.ofMillis(400));
+        assertThat(mTerms).containsExactly(1L, 2L).inOrder();
+        assertThat(mTried).doesNotContain("old:1");
+    }
+
     /** Guards against an agent that stays without an owner after its link is lost. */
     @Test
     void lostLinkIsOpenedAgain() {
