Let idle batch jobs take any room only while the VMs have room

Cause: a job with nothing running for 1.5 s started one task anywhere. On full VMs that task crawled beside serving tasks, disturbed them and tied its job there.

Change: the rule holds only while at most 0.6 of the VMs' processor time is reserved; PlacementTest has both sides of it.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -19,6 +19,12 @@
     /** Time without a running task after which a job takes any room for one. */
     private static final long LONGEST_IDLE_MILLIS = 1_500;
 
+    /**
+     * Reserved share of the VMs up to which an idle job takes any room. Above it, one crawling task
+     * would only keep its job from room that becomes free soon.
+     */
+    private static final double ROOMY_SHARE = 0.6;
+
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
     private final VmTracker mVms;
@@ -100,11 +106,11 @@
     }
 
     /** How long fillers of a job may still wait for room that serves them well. */
-    private FillerPatience patience(Job job) {
+    private FillerPatience patience(Job job, List<Vm> vms) {
         boolean idle = job.tasks().allMatch(task -> task.mAttempt == null);
         if (!idle || job.mBusyAt < 0) {
             job.mBusyAt = mState.now();
-        } else if (mState.now() - job.mBusyAt > LONGEST_IDLE_MILLIS) {
+        } else if (mState.now() - job.mBusyAt > LONGEST_IDLE_MILLIS && roomy(vms)) {
             return FillerPatience.CRAWL;
         }
         Instant accepted = job.accepted();
@@ -114,8 +120,15 @@
                 : FillerPatience.SLOW;
     }
 
+    /** Tells whether a good part of the VMs is not reserved. */
+    private static boolean roomy(List<Vm> vms) {
+        long reserved = vms.stream().mapToLong(vm -> vm.mReserved.milliCpu()).sum();
+        long capacity = vms.stream().mapToLong(vm -> vm.mWorker.capacity().milliCpu()).sum();
+        return reserved <= capacity * ROOMY_SHARE;
+    }
+
     private void placeStep(Step step, List<Vm> vms) {
-        FillerPatience patience = patience(step.mJob);
+        FillerPatience patience = patience(step.mJob, vms);
         for (Task task : step.mTasks) {
             if (!task.waiting() || mState.now() < task.mNotBefore) {
                 continue;
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -106,11 +106,10 @@
         assertThat(mWorld.last().mVm().value()).isEqualTo("a");
     }
 
-    /** Guards against a job that never runs because each VM has a serving task near its limit. */
-    @Test
-    void fillerOfAnIdleJobTakesAnyRoom() {
+    /** An idle filler job beside a serving task near its limit; returns the number of starts. */
+    private int startsBesideServing(long servingCpu) {
         mWorld.join("a", 8_000);
-        mWorld.submit("web", OwnerWorld.serving(1, 4_000, -1));
+        mWorld.submit("web", OwnerWorld.serving(1, servingCpu, -1));
         mWorld.store();
         OwnerWorld.Order web = mWorld.last();
         RunningTask nearLimit = new RunningTask(web.mTask(), web.mRun(), "", 100, 48);
@@ -121,6 +120,18 @@
         mWorld.pass(Duration.ofMillis(1_400), "a");
         assertThat(mWorld.mStarts).hasSize(1);
         mWorld.pass(Duration.ofMillis(200), "a");
-        assertThat(mWorld.mStarts).hasSize(2);
+        return mWorld.mStarts.size();
+    }
+
+    /** Guards against a job that never runs because each VM has a serving task near its limit. */
+    @Test
+    void fillerOfAnIdleJobTakesAnyRoom() {
+        assertThat(startsBesideServing(4_000)).isEqualTo(2);
+    }
+
+    /** Guards against a crawling task that ties its job to a VM where it disturbs serving tasks. */
+    @Test
+    void fillerOfAnIdleJobWaitsWhileMostIsReserved() {
+        assertThat(startsBesideServing(6_000)).isEqualTo(1);
     }
 }
