Wait for an answer's body before the request ends

Cause: the operators' client registered for the body after the request was sent, from its own thread. When that thread was late, the answer had arrived and its body was lost: "refused: HTTP status 404" without the detail.

Change: the handler of the answer is registered before the request ends. No test with a pause is kept, as tests do not sleep; the existing cases cover the result.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -23,7 +23,7 @@
     /** Runs of jobs that this owner does not know; the VM takes nothing while there are any. */
     final Set<TaskName> mForeign = new HashSet<>();
 
-    /** Fillers that are about to move here, and until when their room is kept. */
+    /** Tasks that are being stopped elsewhere to move here, and until when their room is kept. */
     private final Map<Task, Long> mClaims = new HashMap<>();
 
     private final Deque<PendingEnd> mPendingEnds = new ArrayDeque<>();
@@ -57,7 +57,7 @@
         mDataCentre = dataCentre;
     }
 
-    /** Keeps processor time for a filler that is about to move here. */
+    /** Keeps room for a task that is being stopped elsewhere to move here. */
     void claim(Task task, long until) {
         mClaims.put(task, until);
     }
@@ -70,7 +70,7 @@
         return mClaims.containsKey(task);
     }
 
-    /** Processor time kept for fillers that are about to move here, except for one. */
+    /** Processor time kept for tasks that are about to move here, except for one. */
     long claimedByOthers(Task task) {
         return mClaims.keySet().stream()
                 .filter(claimant -> claimant != task)
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -246,6 +246,7 @@
         vm.mSample = sample;
     }
 
+    /** Takes note of the progress of a run and of the processor time that it got. */
     private void follow(Attempt attempt, RunningTask row) {
         long demand = attempt.mTask.mStep.mSpec.perTask().milliCpu();
         boolean starved = row.figure() < demand * STARVED_SHARE;
--- a/tools/src/main/java/org/knapweedbank/tools/HttpOperatorServer.java
+++ b/tools/src/main/java/org/knapweedbank/tools/HttpOperatorServer.java
@@ -88,17 +88,17 @@
     }
 
     private ServerAnswer send(ServerAddress server, HttpClientRequest request, byte[] body) {
+        // Registered before the request ends: the body is lost if nobody waits for it when it
+        // arrives.
+        Future<ServerAnswer> answer =
+                request.response()
+                        .compose(
+                                response ->
+                                        response.body()
+                                                .map(bytes -> read(response.statusCode(), bytes)));
         try {
-            return await(
-                    request.send(Buffer.buffer(body))
-                            .compose(
-                                    response ->
-                                            response.body()
-                                                    .map(
-                                                            bytes ->
-                                                                    read(
-                                                                            response.statusCode(),
-                                                                            bytes))));
+            request.end(Buffer.buffer(body));
+            return await(answer);
         } catch (IOException e) {
             request.reset();
             return new ServerAnswer.Lost(server + ": " + e.getMessage());
