--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
@@ -17,11 +17,45 @@
     /** Reports in a row in which a filler got less processor time than half of its demand. */
     int mStarvedReports;
 
+    /** When the worker last told how much processor time the run gets. */
+    private long mFiguredAt;
+
+    /** Processor time of the run by the figures of its worker, in core-milliseconds. */
+    private double mUsedCoreMillis;
+
+    /** Newest figure of the worker, in thousandths of a core. */
+    private long mFigure;
+
     Attempt(Task task, Vm vm, long run, long now) {
         mTask = task;
         mVm = vm;
         mRun = run;
         mOrderedAt = now;
         mProgressAt = now;
+        mFiguredAt = now;
+    }
+
+    /**
+     * Takes the processor time that a batch run gets.
+     *
+     * @param figure thousandths of a core
+     * @param now when it was reported
+     * @return what the run has used since the report before, in core-milliseconds
+     */
+    double use(long figure, long now) {
+        double used = figure * (now - mFiguredAt) / 1_000.0;
+        mUsedCoreMillis += used;
+        mFiguredAt = now;
+        mFigure = figure;
+        return used;
+    }
+
+    double usedCoreMillis() {
+        return mUsedCoreMillis;
+    }
+
+    /** Newest figure of the worker: thousandths of a core that the run gets. */
+    long figure() {
+        return mFigure;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
+import java.time.Duration;
 import java.util.List;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedTask;
@@ -183,12 +184,25 @@
         Job job = step.mJob;
         if (!job.finished() && job.complete()) {
             job.finish(mState.now());
-            mState.mLog.record("job.completed", job.id().value());
+            recordCompleted(job);
         } else {
             job.changed();
         }
     }
 
+    private void recordCompleted(Job job) {
+        long elapsed = Duration.between(job.accepted(), mState.mClock.wallTime()).toMillis();
+        mState.mLog.record(
+                "job.completed",
+                job.id().value(),
+                "elapsed_ms",
+                elapsed,
+                "objective_ms",
+                JobUrgency.objective(job).toMillis(),
+                "used_core_ms",
+                Math.round(job.mUsedCoreMillis));
+    }
+
     private void failed(Vm vm, Task task, EndedTask end) {
         Job job = task.mStep.mJob;
         if (end.run() <= task.mLastFailedRun || task.mDone) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -25,6 +25,12 @@
     /** When a task of the job last ran or, if none did, when it was first looked at; -1 before. */
     long mBusyAt = -1;
 
+    /** Processor time of its batch runs under this owner, in core-milliseconds. */
+    double mUsedCoreMillis;
+
+    /** Newest rank that was logged; null before the first. */
+    JobUrgency mLoggedUrgency;
+
     /** True for a job that an earlier owner accepted. */
     boolean mInherited;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.jobs.owner;
 
 import java.time.Instant;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -30,6 +31,7 @@
     private final VmTracker mVms;
     private final FillerMover mMover;
     private final ServingConsolidator mConsolidator;
+    private final BatchSurvey mSurvey;
 
     TaskPlacer(OwnerState state, AttemptTracker attempts, VmTracker vms) {
         mState = state;
@@ -37,6 +39,7 @@
         mVms = vms;
         mMover = new FillerMover(state, attempts);
         mConsolidator = new ServingConsolidator(state, attempts);
+        mSurvey = new BatchSurvey(state);
     }
 
     void place() {
@@ -45,8 +48,9 @@
         }
         mMover.begin();
         boolean unresolved = mVms.unresolved();
+        List<Vm> usable = mState.mVms.values().stream().filter(this::usable).toList();
         if (!unresolved) {
-            mConsolidator.advance(mState.mVms.values().stream().filter(this::usable).toList());
+            mConsolidator.advance(usable);
         }
         Instant now = mState.mClock.wallTime();
         mState.mJobs.values().stream()
@@ -55,7 +59,37 @@
                 .filter(job -> hasWaiting(job) || mMover.hasStarved(job))
                 .map(job -> new Ranked(job, JobUrgency.of(job, now)))
                 .sorted(Comparator.comparing(Ranked::urgency))
-                .forEach(ranked -> placeJob(ranked.job()));
+                .forEach(this::placeRanked);
+        mSurvey.advance(usable, this::patience);
+    }
+
+    private void placeRanked(Ranked ranked) {
+        recordRank(ranked.job(), ranked.urgency());
+        placeJob(ranked.job());
+    }
+
+    /** Logs a change in what a job can still reach, with what has gone into the job so far. */
+    private void recordRank(Job job, JobUrgency urgency) {
+        JobUrgency before = job.mLoggedUrgency;
+        job.mLoggedUrgency = urgency;
+        if (before == null || before.missed() == urgency.missed()) {
+            return;
+        }
+        mState.mLog.record(
+                "job.rank",
+                job.id().value(),
+                "missed",
+                urgency.missed(),
+                "before",
+                before.missed(),
+                "due",
+                urgency.due(),
+                "done_tasks",
+                job.tasks().filter(task -> task.mDone).count(),
+                "tasks",
+                job.tasks().count(),
+                "used_core_ms",
+                Math.round(job.mUsedCoreMillis));
     }
 
     /** Tells whether the owner's knowledge is fresh enough to start anything. */
@@ -75,6 +109,7 @@
         if (vms.isEmpty()) {
             return;
         }
+        noteBusy(job);
         job.mOccurrences.stream()
                 .filter(o -> due(job, o))
                 .flatMap(o -> o.mSteps.stream())
@@ -105,12 +140,16 @@
                 && !vm.mHealth.suspended(mState.now());
     }
 
-    /** How long fillers of a job may still wait for room that serves them well. */
-    private FillerPatience patience(Job job, List<Vm> vms) {
+    private void noteBusy(Job job) {
         boolean idle = job.tasks().allMatch(task -> task.mAttempt == null);
         if (!idle || job.mBusyAt < 0) {
             job.mBusyAt = mState.now();
-        } else if (mState.now() - job.mBusyAt > LONGEST_IDLE_MILLIS && roomy(vms)) {
+        }
+    }
+
+    /** How long fillers of a job may still wait for room that serves them well. */
+    private FillerPatience patience(Job job, Collection<Vm> vms) {
+        if (mState.now() - job.mBusyAt > LONGEST_IDLE_MILLIS && roomy(vms)) {
             return FillerPatience.CRAWL;
         }
         Instant accepted = job.accepted();
@@ -121,7 +160,7 @@
     }
 
     /** Tells whether a good part of the VMs is not reserved. */
-    private static boolean roomy(List<Vm> vms) {
+    private static boolean roomy(Collection<Vm> vms) {
         long reserved = vms.stream().mapToLong(vm -> vm.mReserved.milliCpu()).sum();
         long capacity = vms.stream().mapToLong(vm -> vm.mWorker.capacity().milliCpu()).sum();
         return reserved <= capacity * ROOMY_SHARE;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -65,23 +65,45 @@
 
     /** Tells whether a VM has room for a task and fits its demands. */
     static boolean allowed(Task task, Vm vm, FillerPatience patience, PressureEstimator pressure) {
+        return limit(task, vm, patience, pressure) == PlacementLimit.NONE;
+    }
+
+    /**
+     * Tells what keeps a task from all VMs: the limit of the VM that comes nearest to taking it.
+     *
+     * @return the limit; {@link PlacementLimit#NONE} if a VM could take the task
+     */
+    static PlacementLimit limit(
+            Task task, Collection<Vm> vms, FillerPatience patience, PressureEstimator pressure) {
+        return vms.stream()
+                .map(vm -> limit(task, vm, patience, pressure))
+                .min(Comparator.naturalOrder())
+                .orElse(PlacementLimit.RULE);
+    }
+
+    private static PlacementLimit limit(
+            Task task, Vm vm, FillerPatience patience, PressureEstimator pressure) {
         Step step = task.mStep;
         StepSpec spec = step.mSpec;
         PlacementRule rule = spec.placement();
         boolean labelled =
                 rule.requiredLabel().isEmpty()
                         || vm.mWorker.labels().contains(rule.requiredLabel());
-        return labelled
-                && spec.reservation().fitsIn(vm.free())
-                && (rule.maxPerVm() == 0 || vm.attemptsOf(step) < rule.maxPerVm())
-                && (!spec.traits().filler() || worthFilling(task, vm, patience, pressure));
-    }
-
-    private static boolean worthFilling(
-            Task task, Vm vm, FillerPatience patience, PressureEstimator pressure) {
-        StepSpec spec = task.mStep.mSpec;
-        return usableSpare(task, vm) >= spec.perTask().milliCpu() * patience.mDemandPart
-                && disturbance(spec, vm, pressure) <= patience.mDisturbance;
+        if (!labelled || rule.maxPerVm() != 0 && vm.attemptsOf(step) >= rule.maxPerVm()) {
+            return PlacementLimit.RULE;
+        }
+        if (!spec.reservation().fitsIn(vm.free())) {
+            return PlacementLimit.RESERVATION;
+        }
+        if (!spec.traits().filler()) {
+            return PlacementLimit.NONE;
+        }
+        if (usableSpare(task, vm) < spec.perTask().milliCpu() * patience.mDemandPart) {
+            return PlacementLimit.SPARE_CPU;
+        }
+        return disturbance(spec, vm, pressure) <= patience.mDisturbance
+                ? PlacementLimit.NONE
+                : PlacementLimit.DISTURBANCE;
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -248,7 +248,11 @@
 
     /** Takes note of the progress of a run and of the processor time that it got. */
     private void follow(Attempt attempt, RunningTask row) {
-        long demand = attempt.mTask.mStep.mSpec.perTask().milliCpu();
+        var spec = attempt.mTask.mStep.mSpec;
+        if (!spec.serving()) {
+            attempt.mTask.mStep.mJob.mUsedCoreMillis += attempt.use(row.figure(), mState.now());
+        }
+        long demand = spec.perTask().milliCpu();
         boolean starved = row.figure() < demand * STARVED_SHARE;
         attempt.mStarvedReports = starved ? attempt.mStarvedReports + 1 : 0;
         if (row.percent() != attempt.mPercent) {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.knapweedbank.jobs.AgentReport;
-import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedTask;
 import org.knapweedbank.jobs.JobQueue;
@@ -49,6 +48,7 @@
     final JobOwner mOwner;
     final List<Order> mStarts = new ArrayList<>();
     final List<Order> mStops = new ArrayList<>();
+    final List<Line> mLog = new ArrayList<>();
     final Map<DaemonId, Long> mStoredEnds = new HashMap<>();
     private final Map<String, Long> mEnds = new HashMap<>();
     private long mRevision = 100;
@@ -56,13 +56,16 @@
     /** An order that went to an agent. */
     record Order(DaemonId mVm, TaskName mTask, long mRun, String mCheckpoint) {}
 
+    /** A line of the decision log. */
+    record Line(String mEvent, Object mSubject, Map<Object, Object> mFields) {}
+
     OwnerWorld() {
         this(new ManualClock(Instant.ofEpochSecond(1_000)), 1, new VmList());
     }
 
     OwnerWorld(ManualClock clock, long term, VmList list) {
         mClock = clock;
-        mOwner = new JobOwner(SETTINGS, clock, this, DecisionLog.NONE, term, list);
+        mOwner = new JobOwner(SETTINGS, clock, this, this::record, term, list);
         mOwner.configure(List.of(queue(2)));
         mOwner.viewIsCurrent();
     }
@@ -122,6 +125,18 @@
         return job;
     }
 
+    private void record(String event, Object subject, Object... fields) {
+        Map<Object, Object> map = new HashMap<>();
+        for (int i = 0; i < fields.length; i += 2) {
+            map.put(fields[i], fields[i + 1]);
+        }
+        mLog.add(new Line(event, subject, map));
+    }
+
+    List<Line> logged(String event) {
+        return mLog.stream().filter(line -> line.mEvent().equals(event)).toList();
+    }
+
     /** Writes all that is dirty, then schedules. */
     void store() {
         for (Job job : mOwner.unwritten(100)) {
