--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchLoad.java
@@ -0,0 +1,125 @@
+package org.knapweedbank.node.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.model.Resources;
+
+/**
+ * Seeded jobs of fillers whose declared run times are far off, as submitters' guesses are in the
+ * first week after a launch.
+ */
+final class BatchLoad {
+    static final double STRETCH = 2;
+    static final long LATENCY_TARGET_MILLIS = 1_000;
+
+    private static final double MEAN_RUN_MILLIS = 2_400;
+    private static final double RUN_SPREAD = 0.5;
+    private static final double DECLARED_SPREAD = 0.9;
+    private static final double UNEVEN = 0.15;
+    private static final double MEAN_MILLI_CPU = 3_500;
+    private static final int IMAGES = 9;
+    private static final double HEAVY_SHARE = 0.55;
+    private static final double HEAVY_PRESSURE = 1.6;
+    private static final double LIGHT_PRESSURE = 0.1;
+
+    private final Random mRandom;
+    private final double[] mPressures = new double[IMAGES];
+
+    BatchLoad(long seed) {
+        mRandom = new Random(seed);
+        for (int i = 0; i < IMAGES; i++) {
+            mPressures[i] = i < IMAGES * HEAVY_SHARE ? HEAVY_PRESSURE : LIGHT_PRESSURE;
+        }
+    }
+
+    /**
+     * One job.
+     *
+     * @param arrival when it is submitted, in milliseconds
+     * @param steps what is submitted
+     * @param profiles how the tasks of each step behave
+     */
+    record LoadJob(
+            String id, long arrival, List<StepSpec> steps, List<List<TaskProfile>> profiles) {
+        /** Work of all tasks in core-milliseconds. */
+        double work() {
+            return profiles.stream()
+                    .flatMap(List::stream)
+                    .mapToDouble(p -> p.runMillis() * p.milliCpu() / 1_000)
+                    .sum();
+        }
+
+        /** What the caller expects: a multiple of the true chain and a constant. */
+        double objectiveMillis() {
+            double chain =
+                    profiles.stream()
+                            .mapToDouble(
+                                    step ->
+                                            step.stream()
+                                                    .mapToDouble(TaskProfile::runMillis)
+                                                    .max()
+                                                    .orElse(0))
+                            .sum();
+            return STRETCH * chain + LATENCY_TARGET_MILLIS;
+        }
+    }
+
+    /** Jobs that arrive at random over a time. */
+    List<LoadJob> jobs(Duration time, double perSecond) {
+        List<LoadJob> jobs = new ArrayList<>();
+        double at = 0;
+        while (true) {
+            at -= Math.log(1 - mRandom.nextDouble()) / perSecond * 1_000;
+            if (at > time.toMillis()) {
+                return jobs;
+            }
+            jobs.add(job(String.format("%016x", jobs.size() + 1), Math.round(at)));
+        }
+    }
+
+    double phase() {
+        return mRandom.nextDouble() * 2 * Math.PI;
+    }
+
+    private LoadJob job(String id, long arrival) {
+        int count = Math.clamp(Math.round(spread(2, 0.4)), 1, 5);
+        int image = mRandom.nextInt(IMAGES);
+        List<StepSpec> steps = new ArrayList<>();
+        List<List<TaskProfile>> profiles = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            int width = Math.clamp(Math.round(spread(8, 0.6)), 1, 32);
+            long cpu = Math.round(Math.min(7_000, spread(MEAN_MILLI_CPU, 0.3)));
+            double run = Math.min(6_000, spread(MEAN_RUN_MILLIS, RUN_SPREAD));
+            List<TaskProfile> tasks = new ArrayList<>();
+            for (int t = 0; t < width; t++) {
+                tasks.add(new TaskProfile(cpu, spread(run, UNEVEN), mPressures[image], 0));
+            }
+            profiles.add(tasks);
+            steps.add(step(i, width, cpu, Math.round(spread(run, DECLARED_SPREAD)), image));
+        }
+        return new LoadJob(id, arrival, steps, profiles);
+    }
+
+    private static StepSpec step(int number, int width, long cpu, long declared, int image) {
+        return new StepSpec(
+                width,
+                new Resources(cpu, 1_000, 0),
+                Duration.ofMillis(Math.max(1, declared)),
+                number == 0 ? List.of() : List.of(number - 1),
+                new StepTraits(true, false, false, false, true),
+                PlacementRule.ANYWHERE,
+                "image-" + image,
+                Duration.ZERO,
+                -1);
+    }
+
+    /** A lognormal value with a given mean. */
+    private double spread(double mean, double sigma) {
+        return mean * Math.exp(sigma * mRandom.nextGaussian() - sigma * sigma / 2);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchOverloadTest.java
@@ -0,0 +1,69 @@
+package org.knapweedbank.node.batch;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Collections;
+import java.util.List;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.node.batch.BatchLoad.LoadJob;
+
+/** What callers get when more batch work comes than the VMs have room for. */
+class BatchOverloadTest {
+    private static final List<Long> VMS =
+            LongStream.range(0, 11).mapToObj(i -> i < 8 ? 32_000L : 48_000L).toList();
+    private static final int STANDING_JOBS = 9;
+    private static final int STANDING_TASKS = 6;
+    private static final long STANDING_MILLI_CPU = 6_200;
+    private static final double JOBS_PER_SECOND = 1.4;
+    private static final Duration TRAFFIC = Duration.ofSeconds(34);
+    private static final Duration PLAYED = Duration.ofSeconds(48);
+    private static final int SEEDS = 8;
+
+    /** More than half of the processor time must not be spent on answers that come too late. */
+    private static final double LEAST_SHARE = 0.5;
+
+    /** Core-milliseconds that fillers used, in all and in jobs that ended in time. */
+    private record Outcome(double usedInTime, double used) {}
+
+    private static Outcome play(long seed) throws IOException {
+        BatchLoad load = new BatchLoad(seed);
+        List<LoadJob> jobs = load.jobs(TRAFFIC, JOBS_PER_SECOND);
+        BatchWorld world = new BatchWorld(VMS, seed);
+        for (int i = 0; i < STANDING_JOBS; i++) {
+            TaskProfile task = new TaskProfile(STANDING_MILLI_CPU, 0, 0, load.phase());
+            world.serve(
+                    String.format("%016x", 1_000 + i), Collections.nCopies(STANDING_TASKS, task));
+        }
+        world.play(jobs, PLAYED);
+        double used = jobs.stream().mapToDouble(job -> world.used(job.id())).sum();
+        double usedInTime =
+                jobs.stream()
+                        .filter(job -> inTime(world, job))
+                        .mapToDouble(job -> world.used(job.id()))
+                        .sum();
+        return new Outcome(usedInTime, used);
+    }
+
+    private static boolean inTime(BatchWorld world, LoadJob job) {
+        Long elapsed = world.mElapsed.get(job.id());
+        return elapsed != null && elapsed <= job.objectiveMillis();
+    }
+
+    /** Guards against processor time spent on many jobs at once, none of which ends in time. */
+    @Test
+    void halfOfTheProcessorTimeGoesIntoJobsThatEndInTime() throws IOException {
+        double usedInTime = 0;
+        double used = 0;
+        for (int seed = 1; seed <= SEEDS; seed++) {
+            Outcome outcome = play(seed);
+            usedInTime += outcome.usedInTime();
+            used += outcome.used();
+        }
+        assertWithMessage("share of the fillers' processor time")
+                .that(usedInTime / used)
+                .isAtLeast(0.5);
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -0,0 +1,258 @@
+package org.knapweedbank.node.batch;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.JobQueue;
+import org.knapweedbank.jobs.JobState;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.jobs.owner.Job;
+import org.knapweedbank.jobs.owner.JobOwner;
+import org.knapweedbank.jobs.owner.OwnerOutput;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SubmitResult;
+import org.knapweedbank.jobs.owner.VmList;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.agent.AgentSession;
+import org.knapweedbank.node.agent.AgentSettings;
+import org.knapweedbank.node.batch.BatchLoad.LoadJob;
+import org.knapweedbank.node.link.Link;
+import org.knapweedbank.node.link.NodeMessage;
+import org.knapweedbank.time.ManualClock;
+
+/** The owner and one agent for each VM, joined without delay, over simulated workers. */
+final class BatchWorld implements OwnerOutput {
+    private static final long STEP_MILLIS = 20;
+    private static final DataCentreId DC = new DataCentreId("dc");
+    private static final QueueKey BATCH = new QueueKey("example", "/batch/");
+    private static final QueueKey STANDING = new QueueKey("example", "/standing/");
+    private static final OwnerSettings OWNER =
+            new OwnerSettings(
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(6),
+                    Duration.ofMillis(1_500),
+                    Duration.ofSeconds(3),
+                    Duration.ofSeconds(4),
+                    Duration.ofSeconds(150),
+                    1.5);
+    private static final AgentSettings AGENT =
+            new AgentSettings(
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(2),
+                    Duration.ofMillis(1_500),
+                    Duration.ofSeconds(1));
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final Map<DaemonId, Node> mNodes = new LinkedHashMap<>();
+    private final Map<String, List<List<TaskProfile>>> mProfiles = new HashMap<>();
+    private final Map<String, Job> mJobs = new HashMap<>();
+    private final Map<String, Long> mSubmittedAt = new HashMap<>();
+
+    /** Milliseconds from submission to completion, by identifier of the job. */
+    final Map<String, Long> mElapsed = new HashMap<>();
+
+    private final JobOwner mOwner;
+    private long mRevision;
+
+    BatchWorld(List<Long> vms, long seed) throws java.io.IOException {
+        mClock.advance(Duration.ofSeconds(10));
+        VmList none = JobOwner.vmList(new byte[0], 0);
+        mOwner = new JobOwner(OWNER, mClock, this, DecisionLog.NONE, 1, none);
+        mOwner.configure(List.of(queue(BATCH, 2), queue(STANDING, 0)));
+        step();
+        for (int i = 0; i < vms.size(); i++) {
+            Node node = new Node(i, vms.get(i), seed);
+            mNodes.put(node.mId, node);
+            node.join();
+        }
+        pass(1_000);
+    }
+
+    private static JobQueue queue(QueueKey key, int priority) {
+        return new JobQueue(
+                key,
+                "svc",
+                priority,
+                4,
+                BatchLoad.STRETCH,
+                Duration.ofMillis(BatchLoad.LATENCY_TARGET_MILLIS),
+                Duration.ofSeconds(3));
+    }
+
+    /** One VM with its agent, as the owner's end of the link sees it. */
+    private final class Node implements Link {
+        private final DaemonId mId;
+        private final SimulatedWorker mWorker;
+        private final AgentSession mSession;
+        private final WorkerInfo mInfo;
+        private long mPermit;
+
+        private Node(int number, long capacity, long seed) {
+            mId = new DaemonId("vm-" + number);
+            mWorker =
+                    new SimulatedWorker(
+                            mClock, capacity, BatchWorld.this::profile, seed * 100 + number);
+            mSession = new AgentSession(AGENT, mClock, mTimers, mWorker, DecisionLog.NONE);
+            mInfo =
+                    new WorkerInfo(
+                            new WorkerId("w-" + number, 1),
+                            "svc",
+                            new Resources(capacity, 200_000, 0),
+                            List.of("a", "r"),
+                            "r",
+                            false);
+        }
+
+        private void join() {
+            mSession.worker(mInfo);
+            mSession.connected(this, 1);
+        }
+
+        @Override
+        public void send(NodeMessage message) {
+            switch (message) {
+                case NodeMessage.Ping ping -> {
+                    mPermit = ping.number();
+                    if (mOwner.answers(mId)) {
+                        mSession.received(new NodeMessage.Pong(ping.number()));
+                    }
+                }
+                case NodeMessage.Report report -> mOwner.report(mId, DC, report.report(), true);
+                case NodeMessage.Progress progress ->
+                        mOwner.progress(mId, progress.worker(), progress.running());
+                case NodeMessage.Ends ends -> mOwner.ended(mId, ends.worker(), ends.ends());
+                case NodeMessage.Outcome outcome ->
+                        mOwner.outcome(mId, outcome.task(), outcome.run(), outcome.outcome());
+                default -> throw new IllegalStateException("unexpected " + message);
+            }
+        }
+
+        @Override
+        public void close(String reason) {
+            throw new IllegalStateException("closed: " + reason);
+        }
+
+        @Override
+        public String remote() {
+            return mId.value();
+        }
+    }
+
+    private TaskProfile profile(TaskName task) {
+        return mProfiles.get(task.job().value()).get(task.step()).get(task.index());
+    }
+
+    /** Starts standing tasks that reserve the given processor time each. */
+    void serve(String id, List<TaskProfile> tasks) {
+        long cpu = tasks.getFirst().milliCpu();
+        StepSpec step =
+                new StepSpec(
+                        tasks.size(),
+                        new Resources(cpu, 1_000, 0),
+                        Duration.ZERO,
+                        List.of(),
+                        new StepTraits(false, false, false, true, false),
+                        PlacementRule.ANYWHERE,
+                        "web",
+                        Duration.ofMillis(SimulatedWorker.OBJECTIVE_MILLIS),
+                        1);
+        mProfiles.put(id, List.of(tasks));
+        submit(id, List.of(step), STANDING);
+        pass(500);
+    }
+
+    /** Plays jobs and goes on for a while after the last. */
+    void play(List<LoadJob> jobs, Duration time) {
+        long start = mClock.monotonicMillis();
+        List<LoadJob> left = new ArrayList<>(jobs);
+        while (mClock.monotonicMillis() - start < time.toMillis()) {
+            while (!left.isEmpty()
+                    && left.getFirst().arrival() <= mClock.monotonicMillis() - start) {
+                LoadJob job = left.removeFirst();
+                mProfiles.put(job.id(), job.profiles());
+                submit(job.id(), job.steps(), BATCH);
+            }
+            step();
+        }
+    }
+
+    /** Core-milliseconds that fillers of a job have used on all VMs. */
+    double used(String job) {
+        return mNodes.values().stream()
+                .mapToDouble(node -> node.mWorker.mUsed.getOrDefault(job, 0.0))
+                .sum();
+    }
+
+    private void submit(String id, List<StepSpec> steps, QueueKey queue) {
+        var submission = new JobSubmission(new JobId(id), "text", steps, Timetable.ONCE);
+        mJobs.put(id, ((SubmitResult.Known) mOwner.submit(submission, queue)).job());
+        mSubmittedAt.put(id, mClock.monotonicMillis());
+    }
+
+    private void pass(long millis) {
+        for (long t = 0; t < millis; t += STEP_MILLIS) {
+            step();
+        }
+    }
+
+    private void step() {
+        mTimers.pass(Duration.ofMillis(STEP_MILLIS));
+        mNodes.values().forEach(node -> node.mWorker.advance(STEP_MILLIS));
+        mOwner.viewIsCurrent();
+        mOwner.confirmed();
+        mOwner.unwritten(Integer.MAX_VALUE)
+                .forEach(job -> mOwner.written(job, job.version(), ++mRevision));
+        mOwner.listWritten(mOwner.vmList().version(), ++mRevision);
+        mOwner.acknowledge();
+        mOwner.schedule();
+        mJobs.forEach(
+                (id, job) -> {
+                    if (job.state() == JobState.COMPLETED) {
+                        long elapsed = mClock.monotonicMillis() - mSubmittedAt.get(id);
+                        mElapsed.putIfAbsent(id, elapsed);
+                    }
+                });
+    }
+
+    @Override
+    public void start(DaemonId agent, StartOrder order) {
+        Node node = mNodes.get(agent);
+        node.mSession.received(new NodeMessage.Start(node.mInfo.id(), node.mPermit, order));
+    }
+
+    @Override
+    public void stop(DaemonId agent, TaskName task, long run) {
+        mNodes.get(agent).mSession.received(new NodeMessage.Stop(task, run));
+    }
+
+    @Override
+    public void describe(
+            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective) {
+        mNodes.get(agent)
+                .mSession
+                .received(new NodeMessage.Describe(task, run, pressure, latencyObjective));
+    }
+
+    @Override
+    public void acknowledgeEnds(DaemonId agent, long number) {
+        mNodes.get(agent).mSession.received(new NodeMessage.EndsStored(number));
+    }
+}
