Learn the run times of a queue's tasks instead of trusting declared ones

Jobs with short estimates counted as missed a moment after they came.

The owner now fits a line through the logarithms of both, by queue, from tasks that end. The time of a run counts at full pace, by the share of its demand that the worker reports, so that a paced task is not taken for a long one; a step with ended tasks uses their mean.

LearnedRunTimeTest can't be met by the earlier code, which had no estimator.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
@@ -50,8 +50,16 @@
         return used;
     }
 
-    double usedCoreMillis() {
-        return mUsedCoreMillis;
+    /**
+     * Time that the run would have taken at full pace, by the part of its demand that it got.
+     *
+     * @param now when it ended
+     * @return milliseconds
+     */
+    double fullPaceMillis(long now) {
+        double asked = mTask.mStep.mSpec.perTask().milliCpu() * (mFiguredAt - mOrderedAt) / 1_000.0;
+        double share = asked > 0 ? Math.min(1, mUsedCoreMillis / asked) : 1;
+        return (now - mOrderedAt) * share;
     }
 
     /** Newest figure of the worker: thousandths of a core that the run gets. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -143,6 +143,9 @@
         Attempt attempt = task.mAttempt;
         if (attempt != null && attempt.mVm == vm && attempt.mRun <= end.run()) {
             release(attempt);
+            if (end.how() == EndKind.DONE && attempt.mRun == end.run()) {
+                learnRunTime(attempt);
+            }
         }
         mState.mLog.record(
                 "task.end",
@@ -159,6 +162,22 @@
         vm.awaitStored(end.number(), job.version() == before ? null : job);
     }
 
+    /** Learns from a task that was done in one run; others have done a part of it before. */
+    private void learnRunTime(Attempt attempt) {
+        Task task = attempt.mTask;
+        Step step = task.mStep;
+        if (step.mSpec.traits().longRunning() || !task.mCheckpoint.isEmpty()) {
+            return;
+        }
+        double millis = attempt.fullPaceMillis(mState.now());
+        step.observe(millis);
+        mState.mRunTimes.observe(
+                step.mJob.queue().key(),
+                step.mSpec.estimate().toMillis(),
+                millis,
+                1.0 / step.mSpec.count());
+    }
+
     private void apply(Vm vm, Task task, EndedTask end) {
         switch (end.how()) {
             case DONE -> done(vm, task);
@@ -198,7 +217,7 @@
                 "elapsed_ms",
                 elapsed,
                 "objective_ms",
-                JobUrgency.objective(job).toMillis(),
+                JobUrgency.objective(job, mState.mRunTimes).toMillis(),
                 "used_core_ms",
                 Math.round(job.mUsedCoreMillis));
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -148,7 +148,7 @@
                 "priority",
                 configured.priority(),
                 "objective_ms",
-                JobUrgency.objective(job).toMillis());
+                JobUrgency.objective(job, mState.mRunTimes).toMillis());
         return new SubmitResult.Known(job);
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
@@ -4,7 +4,7 @@
 import java.time.Instant;
 import java.util.Comparator;
 import java.util.List;
-import org.knapweedbank.jobs.JobQueue;
+import java.util.function.ToDoubleFunction;
 
 /**
  * Order in which jobs get room. Queues go by priority. Within a priority, jobs that can still end
@@ -24,60 +24,60 @@
                     .thenComparingInt(JobUrgency::missed)
                     .thenComparing(JobUrgency::due);
 
-    static JobUrgency of(Job job, Instant now) {
-        JobQueue queue = job.queue();
-        Duration objective = objective(job);
+    static JobUrgency of(Job job, Instant now, RunTimeEstimator runTimes) {
+        Duration objective = objective(job, runTimes);
         Instant due = job.accepted().plus(objective);
-        Instant end = now.plus(remaining(job));
+        Instant end = now.plus(remaining(job, runTimes));
         int missed = 2;
         if (!end.isAfter(due)) {
             missed = 0;
         } else if (!end.isAfter(job.accepted().plus(objective.multipliedBy(LATE_FACTOR)))) {
             missed = 1;
         }
-        return new JobUrgency(queue.priority(), missed, due);
+        return new JobUrgency(job.queue().priority(), missed, due);
     }
 
     /** Time in which the caller expects the job: a multiple of its longest chain and a constant. */
-    static Duration objective(Job job) {
-        long chain = chain(job.mOccurrences.getFirst().mSteps, false);
-        long stretched = (long) (chain * job.queue().stretch());
-        return Duration.ofMillis(stretched).plus(job.queue().latencyTarget());
+    static Duration objective(Job job, RunTimeEstimator runTimes) {
+        double chain = chain(job.mOccurrences.getFirst().mSteps, step -> step.runMillis(runTimes));
+        return Duration.ofMillis((long) (chain * job.queue().stretch()))
+                .plus(job.queue().latencyTarget());
     }
 
     /** Longest chain of work that has not been done yet. */
-    private static Duration remaining(Job job) {
+    private static Duration remaining(Job job, RunTimeEstimator runTimes) {
         return Duration.ofMillis(
-                job.mOccurrences.stream()
-                        .mapToLong(occurrence -> chain(occurrence.mSteps, true))
-                        .max()
-                        .orElse(0));
+                (long)
+                        job.mOccurrences.stream()
+                                .mapToDouble(o -> chain(o.mSteps, step -> open(step, runTimes)))
+                                .max()
+                                .orElse(0));
     }
 
-    private static long chain(List<Step> steps, boolean onlyOpen) {
-        long[] ends = new long[steps.size()];
-        long longest = 0;
+    private static double chain(List<Step> steps, ToDoubleFunction<Step> millis) {
+        double[] ends = new double[steps.size()];
+        double longest = 0;
         for (int i = 0; i < ends.length; i++) {
             Step step = steps.get(i);
-            long start = step.mSpec.after().stream().mapToLong(n -> ends[n]).max().orElse(0);
-            ends[i] = start + (onlyOpen ? open(step) : step.mSpec.estimate().toMillis());
+            double start = step.mSpec.after().stream().mapToDouble(n -> ends[n]).max().orElse(0);
+            ends[i] = start + millis.applyAsDouble(step);
             longest = Math.max(longest, ends[i]);
         }
         return longest;
     }
 
-    /** Work that is left of the step's slowest task. */
-    private static long open(Step step) {
+    /** Run time that is left of the step's slowest task, in milliseconds at full pace. */
+    private static double open(Step step, RunTimeEstimator runTimes) {
         if (step.complete()) {
             return 0;
         }
-        int percent =
+        double left =
                 step.mTasks.stream()
                         .filter(task -> !task.mDone)
-                        .mapToInt(task -> task.mAttempt == null ? 0 : task.mAttempt.mPercent)
-                        .min()
+                        .mapToDouble(Task::shareLeft)
+                        .max()
                         .orElse(0);
-        return step.mSpec.estimate().toMillis() * (100 - percent) / 100;
+        return step.runMillis(runTimes) * left;
     }
 
     @Override
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -28,6 +28,7 @@
 
     final long mTakenOverAt;
     final PressureEstimator mPressure = new PressureEstimator();
+    final RunTimeEstimator mRunTimes = new RunTimeEstimator();
     final Map<JobId, Job> mJobs = new LinkedHashMap<>();
     final Map<DaemonId, Vm> mVms = new HashMap<>();
     Map<QueueKey, JobQueue> mQueues = Map.of();
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
@@ -15,6 +15,8 @@
     final List<Task> mTasks;
     int mDone;
     int mWaiting;
+    private int mObserved;
+    private double mObservedMillis;
 
     Step(Job job, Occurrence occurrence, int number, StepSpec spec) {
         mJob = job;
@@ -29,6 +31,19 @@
         mWaiting = spec.count();
     }
 
+    /** Takes the run time of a task that has ended, at full pace. */
+    void observe(double millis) {
+        mObserved++;
+        mObservedMillis += millis;
+    }
+
+    /** Run time of a task at full pace: that of tasks that have ended, or what is expected. */
+    double runMillis(RunTimeEstimator runTimes) {
+        return mObserved > 0
+                ? mObservedMillis / mObserved
+                : runTimes.millis(mJob.queue().key(), mSpec.estimate().toMillis());
+    }
+
     boolean complete() {
         return mDone == mTasks.size();
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -31,6 +31,11 @@
         mStep = step;
     }
 
+    /** Share of the task's work that its present run has not done yet. */
+    double shareLeft() {
+        return mAttempt == null ? 1 : 1 - mAttempt.mPercent / 100.0;
+    }
+
     boolean waiting() {
         return !mDone && mAttempt == null;
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
 import java.util.Comparator;
@@ -57,7 +58,7 @@
                 .filter(job -> job.stored() && !job.finished())
                 .filter(job -> !(job.mInherited && unresolved))
                 .filter(job -> hasWaiting(job) || mMover.hasStarved(job))
-                .map(job -> new Ranked(job, JobUrgency.of(job, now)))
+                .map(job -> new Ranked(job, JobUrgency.of(job, now, mState.mRunTimes)))
                 .sorted(Comparator.comparing(Ranked::urgency))
                 .forEach(this::placeRanked);
         mSurvey.advance(usable, this::patience);
@@ -153,7 +154,8 @@
             return FillerPatience.CRAWL;
         }
         Instant accepted = job.accepted();
-        Instant limit = accepted.plus(JobUrgency.objective(job).dividedBy(PATIENCE_DIVISOR));
+        Duration objective = JobUrgency.objective(job, mState.mRunTimes);
+        Instant limit = accepted.plus(objective.dividedBy(PATIENCE_DIVISOR));
         return mState.mClock.wallTime().isBefore(limit)
                 ? FillerPatience.FULL_PACE
                 : FillerPatience.SLOW;
--- /dev/null
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/LearnedRunTimeTest.java
@@ -0,0 +1,55 @@
+package org.knapweedbank.jobs.owner;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.google.common.collect.Range;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.RunningTask;
+import org.knapweedbank.jobs.StepTraits;
+
+/** Objectives of jobs that declare one second for each task, when tasks took four before. */
+class LearnedRunTimeTest {
+    private static final StepTraits FILLER = new StepTraits(true, false, false, false, true);
+    private static final int EARLIER_JOBS = 20;
+    private static final int SECONDS = 4;
+    private static final long USED_CPU = 1_000;
+
+    private final OwnerWorld mWorld = new OwnerWorld();
+
+    private void progress(OwnerWorld.Order order, int percent) {
+        RunningTask row = new RunningTask(order.mTask(), order.mRun(), "", percent, USED_CPU);
+        mWorld.mOwner.progress(order.mVm(), OwnerWorld.worker("a", 1, 0, false).id(), List.of(row));
+    }
+
+    /** Objective of the last of some jobs, each of whose tasks gets one core for four seconds. */
+    private long objectiveAfterEarlierJobs(long demand) {
+        mWorld.join("a", 100_000);
+        for (int i = 0; i < EARLIER_JOBS; i++) {
+            mWorld.submit("j" + i, OwnerWorld.step(1, demand, FILLER));
+            mWorld.store();
+            mWorld.started(mWorld.last());
+            for (int second = 0; second < SECONDS; second++) {
+                mWorld.pass(Duration.ofSeconds(1), "a");
+                progress(mWorld.last(), 20 * second);
+            }
+            mWorld.end(mWorld.last(), EndKind.DONE, "");
+        }
+        return (long) mWorld.logged("job.created").getLast().mFields().get("objective_ms");
+    }
+
+    /** Guards against objectives that rest on declared run times when these are far off. */
+    @Test
+    void objectiveFollowsTheRunTimesOfEarlierJobs() {
+        assertThat(objectiveAfterEarlierJobs(USED_CPU)).isAtLeast(7_500);
+    }
+
+    /** Guards against a paced task that is taken for a long one. */
+    @Test
+    void runTimeIsThatAtFullPace() {
+        assertThat(objectiveAfterEarlierJobs(SECONDS * USED_CPU))
+                .isIn(Range.closed(2_800L, 3_200L));
+    }
+}
