Give room to the jobs whose callers gain most for the work that is left

Within a priority, jobs now go by what their callers gain for each unit of work that is left. A job that is nearly done goes before one of its size that has not begun, a small one before a large one; a job that can only end late counts a fifth, one beyond that little. The gain grows less than in proportion to a job's size, so the largest are not starved by the smallest alone.

Two new tests of PlacementTest fail on the code before (the new and the large job go first).

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
@@ -7,21 +7,34 @@
 import java.util.function.ToDoubleFunction;
 
 /**
- * Order in which jobs get room. Queues go by priority. Within a priority, jobs that can still end
- * within their objective go by its end; those that can't follow, so that under overload they do not
- * make all others miss theirs as well.
+ * Order in which jobs get room. Queues go by priority. Within a priority, jobs go by what their
+ * callers gain for each unit of work that is left: a job serves its caller only once it has ended,
+ * so one that is nearly done goes before one of the same size that has not begun, and under
+ * overload few jobs are in progress at a time. A job that can only end late is worth less to its
+ * caller, but what has been done of it still counts.
  *
  * @param priority priority of the queue, 0 first
  * @param missed 0 if the objective can be met, 1 if only the late limit can, 2 if neither
  * @param due end of the objective
+ * @param gain what the caller gains for each unit of work that is left
  */
-record JobUrgency(int priority, int missed, Instant due) implements Comparable<JobUrgency> {
+record JobUrgency(int priority, int missed, Instant due, double gain)
+        implements Comparable<JobUrgency> {
     /** An answer within this multiple of the objective is late, but still worth something. */
     private static final int LATE_FACTOR = 3;
 
+    /** Part of a job's gain that is left if it can end in time, late, or only after that. */
+    private static final double[] GAIN_LEFT = {1, 0.2, 0.02};
+
+    /** A caller gains more by a large job than by a small one, but less than in proportion. */
+    private static final double SIZE_EXPONENT = 0.7;
+
+    /** Work below which jobs count as equally small, in core-milliseconds. */
+    private static final double LEAST_WORK = 1;
+
     private static final Comparator<JobUrgency> ORDER =
             Comparator.comparingInt(JobUrgency::priority)
-                    .thenComparingInt(JobUrgency::missed)
+                    .thenComparingDouble(urgency -> -urgency.gain())
                     .thenComparing(JobUrgency::due);
 
     static JobUrgency of(Job job, Instant now, RunTimeEstimator runTimes) {
@@ -34,7 +47,28 @@
         } else if (!end.isAfter(job.accepted().plus(objective.multipliedBy(LATE_FACTOR)))) {
             missed = 1;
         }
-        return new JobUrgency(job.queue().priority(), missed, due);
+        double gain = GAIN_LEFT[missed] * gain(job, runTimes);
+        return new JobUrgency(job.queue().priority(), missed, due, gain);
+    }
+
+    /** What the caller gains by a job in time, for each unit of work that is left. */
+    private static double gain(Job job, RunTimeEstimator runTimes) {
+        double all = work(job, task -> 1.0, runTimes);
+        double left = work(job, task -> task.mDone ? 0 : task.shareLeft(), runTimes);
+        return Math.pow(Math.max(LEAST_WORK, all), SIZE_EXPONENT) / Math.max(LEAST_WORK, left);
+    }
+
+    /** Work of a share of each task, in core-milliseconds. */
+    private static double work(Job job, ToDoubleFunction<Task> share, RunTimeEstimator runTimes) {
+        return job.mOccurrences.stream()
+                .flatMap(occurrence -> occurrence.mSteps.stream())
+                .mapToDouble(
+                        step ->
+                                step.runMillis(runTimes)
+                                        * step.mSpec.perTask().milliCpu()
+                                        / 1_000
+                                        * step.mTasks.stream().mapToDouble(share).sum())
+                .sum();
     }
 
     /** Time in which the caller expects the job: a multiple of its longest chain and a constant. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -94,6 +94,39 @@
         assertThat(mWorld.last().mTask().job().value()).isEqualTo("late");
     }
 
+    /** Guards against work thrown away: new jobs that take the room of one that is nearly done. */
+    @Test
+    void lateJobThatIsNearlyDoneGoesBeforeANewOne() {
+        mWorld.join("a", 1_000);
+        mWorld.submit(
+                "begun",
+                OwnerWorld.step(9, 1_000, StepTraits.BATCH),
+                OwnerWorld.step(1, 1_000, StepTraits.BATCH, 0));
+        mWorld.store();
+        for (int i = 0; i < 8; i++) {
+            mWorld.pass(Duration.ofSeconds(1), "a");
+            mWorld.end(mWorld.last(), EndKind.DONE, "");
+        }
+        mWorld.submit("new", OwnerWorld.step(9, 1_000, StepTraits.BATCH));
+        mWorld.store();
+        for (int i = 0; i < 2; i++) {
+            mWorld.pass(Duration.ofSeconds(1), "a");
+            assertThat(mWorld.last().mTask().job().value()).isEqualTo("begun");
+            mWorld.end(mWorld.last(), EndKind.DONE, "");
+        }
+        assertThat(mWorld.last().mTask().job().value()).isEqualTo("new");
+    }
+
+    /** Guards against a small job that waits for a large one that came a moment earlier. */
+    @Test
+    void ofTwoNewJobsTheSmallerGoesFirst() {
+        mWorld.submit("large", OwnerWorld.step(8, 1_000, StepTraits.BATCH));
+        mWorld.submit("small", OwnerWorld.step(1, 1_000, StepTraits.BATCH));
+        mWorld.store();
+        mWorld.join("a", 1_000);
+        assertThat(mWorld.last().mTask().job().value()).isEqualTo("small");
+    }
+
     /** Guards against small batch tasks that break up the VMs on which fillers disturb nobody. */
     @Test
     void batchTasksTakeTheSmallestRoom() {
