Pace fillers by rank: the budget beside serving tasks goes to the best jobs first

The agent shared what serving tasks leave among all fillers that disturb, so 36 to 53 of them ran at about a third of their pace; an objective is twice the chain of work and a second, so no job could meet it, whatever its place in the owner's order.

Each filler now has a rank, what its job's caller gains for each unit by which it disturbs serving tasks; the owner sends it with the start and again when it has changed by a tenth (once a second at most). The agent gives its budget to the highest rank first, at full pace. Harmless fillers have a high rank by themselves. What an agent knows of a run's neighbours is one record, RunProfile, in place of loose fields. The budget itself is unchanged, and so is what protects the serving tasks.

The tests of the pacer that give fillers no rank are given ranks by their pressure, as the earlier order was.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
@@ -17,6 +17,9 @@
     /** Reports in a row in which a filler got less processor time than half of its demand. */
     int mStarvedReports;
 
+    /** Rank among the fillers of its VM that its agent knows of. */
+    double mRank;
+
     /** When the worker last told how much processor time the run gets. */
     private long mFiguredAt;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StartOutcome;
 import org.knapweedbank.jobs.TaskName;
@@ -272,13 +273,13 @@
     }
 
     private StartOrder order(Task task, Attempt attempt) {
-        var spec = task.mStep.mSpec;
+        RunProfile profile = mState.profile(attempt);
+        attempt.mRank = profile.rank();
         return new StartOrder(
                 task.mName,
                 attempt.mRun,
                 task.mStep.mJob.submission().spec(),
                 task.mCheckpoint,
-                mState.pressure(attempt),
-                spec.latencyObjective());
+                profile);
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerOutput.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerOutput.java
@@ -1,6 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
-import java.time.Duration;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.model.DaemonId;
@@ -25,16 +25,15 @@
     void stop(DaemonId agent, TaskName task, long run);
 
     /**
-     * Tells the agent how a run behaves that it did not start itself.
+     * Tells the agent how a run shares its VM, if it did not start the run itself or if that has
+     * changed.
      *
      * @param agent the agent of the VM
      * @param task the task
      * @param run the run
-     * @param pressure as in {@link StartOrder#pressure}
-     * @param latencyObjective as in {@link StartOrder#latencyObjective}
+     * @param profile the profile
      */
-    void describe(
-            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective);
+    void describe(DaemonId agent, TaskName task, long run, RunProfile profile);
 
     /**
      * Acknowledges ends, which the worker may then forget.
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -7,6 +7,7 @@
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
@@ -18,6 +19,9 @@
     /** Marks a filler whose image does not disturb as one that may be paced all the same. */
     private static final double LEAST_PRESSURE = 0.005;
 
+    /** Factor of pressure below which images count as equally harmless. */
+    private static final double LEAST_FACTOR = 0.02;
+
     final OwnerSettings mSettings;
     final Clock mClock;
     final OwnerOutput mOutput;
@@ -70,13 +74,23 @@
         return known ? step.mTasks.get(name.index()) : null;
     }
 
-    /** Expected rise of utilization that a run causes on its VM; 0 if it is no filler. */
-    double pressure(Attempt attempt) {
+    /** How a run shares its VM with others. */
+    RunProfile profile(Attempt attempt) {
         var spec = attempt.mTask.mStep.mSpec;
         if (!spec.traits().filler()) {
-            return 0;
+            return new RunProfile(0, 0, spec.latencyObjective());
         }
-        return Math.max(LEAST_PRESSURE, mPressure.rise(spec, attempt.mVm));
+        double pressure = Math.max(LEAST_PRESSURE, mPressure.rise(spec, attempt.mVm));
+        return new RunProfile(pressure, rank(attempt.mTask.mStep), spec.latencyObjective());
+    }
+
+    /**
+     * Rank of a step's tasks among the fillers of a VM: what the caller gains for each unit by
+     * which they disturb serving tasks.
+     */
+    double rank(Step step) {
+        double gain = JobUrgency.of(step.mJob, mClock.wallTime(), mRunTimes).gain();
+        return gain / Math.max(LEAST_FACTOR, mPressure.factor(step.mSpec.image()));
     }
 
     /** Tells whether the store has confirmed the ownership recently enough to act on it. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.TailLatency;
 import org.knapweedbank.jobs.TaskName;
@@ -22,6 +23,9 @@
     /** Share of its demand below which a filler counts as starved of processor time. */
     private static final double STARVED_SHARE = 0.5;
 
+    /** Change of a filler's rank, as a share of it, from which its agent is told. */
+    private static final double RANK_CHANGE = 0.1;
+
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
     private final VmList mList;
@@ -86,6 +90,7 @@
         List.copyOf(vm.mAttempts.values()).stream()
                 .filter(a -> !listed.contains(a.mTask.mName) && a.mOrderedAt < settled)
                 .forEach(a -> absent(vm, a));
+        describeRanks(vm);
         mHangs.inspect(vm, listed);
     }
 
@@ -265,15 +270,24 @@
     private void describe(Attempt attempt) {
         var spec = attempt.mTask.mStep.mSpec;
         if (spec.traits().filler() || spec.serving()) {
-            mState.mOutput.describe(
-                    attempt.mVm.mAgent,
-                    attempt.mTask.mName,
-                    attempt.mRun,
-                    mState.pressure(attempt),
-                    spec.latencyObjective());
+            RunProfile profile = mState.profile(attempt);
+            attempt.mRank = profile.rank();
+            mState.mOutput.describe(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun, profile);
         }
     }
 
+    /** Tells the agent of a VM which fillers have changed their rank by a good part. */
+    private void describeRanks(Vm vm) {
+        vm.mAttempts.values().stream()
+                .filter(attempt -> attempt.mTask.mStep.mSpec.traits().filler())
+                .filter(attempt -> differs(mState.profile(attempt).rank(), attempt.mRank))
+                .forEach(this::describe);
+    }
+
+    private static boolean differs(double rank, double known) {
+        return Math.abs(rank - known) > RANK_CHANGE * known;
+    }
+
     private void duplicate(Vm vm, RunningTask row, Attempt attempt) {
         if (attempt.mVm != vm) {
             vm.mForeign.add(row.task());
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
@@ -15,6 +15,7 @@
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StartOutcome;
@@ -48,6 +49,7 @@
     final JobOwner mOwner;
     final List<Order> mStarts = new ArrayList<>();
     final List<Order> mStops = new ArrayList<>();
+    final List<RunProfile> mProfiles = new ArrayList<>();
     final List<Line> mLog = new ArrayList<>();
     final Map<DaemonId, Long> mStoredEnds = new HashMap<>();
     private final Map<String, Long> mEnds = new HashMap<>();
@@ -211,6 +213,7 @@
 
     @Override
     public void start(DaemonId agent, StartOrder order) {
+        mProfiles.add(order.profile());
         mStarts.add(new Order(agent, order.task(), order.run(), order.checkpoint()));
     }
 
@@ -220,8 +223,9 @@
     }
 
     @Override
-    public void describe(
-            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective) {}
+    public void describe(DaemonId agent, TaskName task, long run, RunProfile profile) {
+        mProfiles.add(profile);
+    }
 
     @Override
     public void acknowledgeEnds(DaemonId agent, long number) {
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -378,8 +378,7 @@
     private void describe(NodeMessage.Describe message) {
         Run run = mRuns.find(message.task(), message.run());
         if (run != null) {
-            run.mPressure = message.pressure();
-            run.mObjective = message.latencyObjective();
+            run.mProfile = message.profile();
         }
     }
 
@@ -404,14 +403,16 @@
     private double pressure() {
         return mRuns.runs().stream()
                 .filter(run -> run.mStarted)
-                .mapToDouble(run -> run.mPressure)
+                .mapToDouble(run -> run.mProfile.pressure())
                 .sum();
     }
 
     private void applyPace() {
         List<Run> fillers =
-                mRuns.runs().stream().filter(run -> run.mStarted && run.mPressure > 0).toList();
-        List<Integer> paces = mPacer.paces(fillers.stream().map(run -> run.mPressure).toList());
+                mRuns.runs().stream()
+                        .filter(run -> run.mStarted && run.mProfile.pressure() > 0)
+                        .toList();
+        List<Integer> paces = mPacer.paces(fillers.stream().map(run -> run.mProfile).toList());
         logPaces(paces);
         for (int i = 0; i < paces.size(); i++) {
             if (fillers.get(i).mPace != paces.get(i)) {
--- a/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/FillerPacer.java
@@ -1,13 +1,12 @@
 package org.knapweedbank.node.agent;
 
-import static java.util.stream.Collectors.counting;
-import static java.util.stream.Collectors.groupingBy;
-
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.function.Function;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.TailLatency;
 
 /**
@@ -66,35 +65,27 @@
     }
 
     /**
-     * Paces of the running fillers. Those that disturb least go first, at full pace as long as the
-     * budget covers them, since they cost the serving tasks next to nothing; the others share what
-     * is left.
+     * Paces of the running fillers. The budget goes to those of the highest rank first, at full
+     * pace as long as it covers them: a few jobs that end in time serve their callers better than
+     * many that crawl. Fillers of one rank share what is left when it does not cover all of them.
      *
-     * @param pressures rise of utilization that each filler would cause at full pace
+     * @param fillers the running fillers
      * @return the pace of each in percent, in the same order
      */
-    List<Integer> paces(List<Double> pressures) {
+    List<Integer> paces(List<RunProfile> fillers) {
         if (!mServing) {
-            return pressures.stream().map(pressure -> FULL).toList();
+            return fillers.stream().map(filler -> FULL).toList();
         }
-        TreeMap<Double, Long> fillers =
-                pressures.stream()
-                        .collect(groupingBy(Function.identity(), TreeMap::new, counting()));
+        TreeMap<Double, Double> pressures = new TreeMap<>(Comparator.reverseOrder());
+        fillers.forEach(f -> pressures.merge(f.rank(), f.pressure(), Double::sum));
+        Map<Double, Integer> paces = new HashMap<>();
         double left = mBudget;
-        while (!fillers.isEmpty() && total(fillers.firstEntry()) <= left) {
-            left -= total(fillers.pollFirstEntry());
-        }
-        if (fillers.isEmpty()) {
-            return pressures.stream().map(pressure -> FULL).toList();
+        for (Map.Entry<Double, Double> rank : pressures.entrySet()) {
+            double used = Math.min(left, rank.getValue());
+            paces.put(rank.getKey(), (int) (FULL * used / rank.getValue()));
+            left -= used;
         }
-        double shared = fillers.entrySet().stream().mapToDouble(FillerPacer::total).sum();
-        int pace = (int) (FULL * left / shared);
-        double least = fillers.firstKey();
-        return pressures.stream().map(pressure -> pressure < least ? FULL : pace).toList();
-    }
-
-    private static double total(Map.Entry<Double, Long> fillers) {
-        return fillers.getKey() * fillers.getValue();
+        return fillers.stream().map(filler -> paces.get(filler.rank())).toList();
     }
 
     private void adjust(double worst, double pressure) {
--- a/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.TaskName;
@@ -29,8 +30,7 @@
     Run ordered(StartOrder order, long deadline, long now) {
         Run run = new Run(order.task(), order.run(), now);
         run.mDeadline = deadline;
-        run.mPressure = order.pressure();
-        run.mObjective = order.latencyObjective();
+        run.mProfile = order.profile();
         mRuns.put(order.task(), run);
         return run;
     }
@@ -124,10 +124,9 @@
 
         long mStopSentAt;
 
-        /** Rise of utilization that a filler causes for serving tasks at full pace. */
-        double mPressure;
+        /** How the run shares the VM; without an order or word of the owner it is left alone. */
+        RunProfile mProfile = new RunProfile(0, 0, Duration.ZERO);
 
-        Duration mObjective = Duration.ZERO;
         int mPace = FillerPacer.FULL;
         private String mCheckpoint = "";
         private int mPercent;
@@ -155,8 +154,9 @@
 
         /** Latency divided by objective; 0 unless the run serves and is at work. */
         double load() {
-            boolean serving = !mObjective.isZero() && mPercent == FillerPacer.FULL;
-            return serving ? (double) mFigure / mObjective.toMillis() : 0;
+            Duration objective = mProfile.latencyObjective();
+            boolean serving = !objective.isZero() && mPercent == FillerPacer.FULL;
+            return serving ? (double) mFigure / objective.toMillis() : 0;
         }
 
         private RunningTask row() {
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerDuty.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.WorkerId;
@@ -184,9 +185,8 @@
     }
 
     @Override
-    public void describe(
-            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective) {
-        send(agent, new NodeMessage.Describe(task, run, pressure, latencyObjective));
+    public void describe(DaemonId agent, TaskName task, long run, RunProfile profile) {
+        send(agent, new NodeMessage.Describe(task, run, profile));
     }
 
     @Override
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -10,6 +10,7 @@
 import org.knapweedbank.jobs.EndedTask;
 import org.knapweedbank.jobs.JobState;
 import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StartOutcome;
@@ -112,7 +113,7 @@
             case NodeMessage.Stop m -> packTask(out.packInt(STOP), m.task()).packLong(m.run());
             case NodeMessage.Describe m -> {
                 packTask(out.packInt(DESCRIBE), m.task()).packLong(m.run());
-                out.packDouble(m.pressure()).packLong(m.latencyObjective().toMillis());
+                packProfile(out, m.profile());
             }
             case NodeMessage.EndsStored m -> out.packInt(ENDS_STORED).packLong(m.number());
             case NodeMessage.Call m ->
@@ -148,11 +149,7 @@
             case START -> new NodeMessage.Start(unpackWorker(in), in.unpackLong(), unpackOrder(in));
             case STOP -> new NodeMessage.Stop(unpackTask(in), in.unpackLong());
             case DESCRIBE ->
-                    new NodeMessage.Describe(
-                            unpackTask(in),
-                            in.unpackLong(),
-                            in.unpackDouble(),
-                            Duration.ofMillis(in.unpackLong()));
+                    new NodeMessage.Describe(unpackTask(in), in.unpackLong(), unpackProfile(in));
             case ENDS_STORED -> new NodeMessage.EndsStored(in.unpackLong());
             case CALL -> new NodeMessage.Call(in.unpackLong(), unpackCall(in));
             case REPLY -> new NodeMessage.Reply(in.unpackLong(), unpackAnswer(in));
@@ -269,8 +266,18 @@
 
     private static void packOrder(MessagePacker out, StartOrder order) throws IOException {
         packTask(out, order.task()).packLong(order.run());
-        out.packString(order.spec()).packString(order.checkpoint()).packDouble(order.pressure());
-        out.packLong(order.latencyObjective().toMillis());
+        out.packString(order.spec()).packString(order.checkpoint());
+        packProfile(out, order.profile());
+    }
+
+    private static void packProfile(MessagePacker out, RunProfile profile) throws IOException {
+        out.packDouble(profile.pressure()).packDouble(profile.rank());
+        out.packLong(profile.latencyObjective().toMillis());
+    }
+
+    private static RunProfile unpackProfile(MessageUnpacker in) throws IOException {
+        return new RunProfile(
+                in.unpackDouble(), in.unpackDouble(), Duration.ofMillis(in.unpackLong()));
     }
 
     private static StartOrder unpackOrder(MessageUnpacker in) throws IOException {
@@ -279,8 +286,7 @@
                 in.unpackLong(),
                 in.unpackString(),
                 in.unpackString(),
-                in.unpackDouble(),
-                Duration.ofMillis(in.unpackLong()));
+                unpackProfile(in));
     }
 
     private static void packCall(MessagePacker out, CallRequest call) throws IOException {
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -1,9 +1,9 @@
 package org.knapweedbank.node.link;
 
-import java.time.Duration;
 import java.util.List;
 import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StartOutcome;
@@ -135,8 +135,7 @@
      * @param pressure expected rise of utilization that it causes; 0 if it must not be paced
      * @param latencyObjective bound on its tail latency, zero if none
      */
-    record Describe(TaskName task, long run, double pressure, Duration latencyObjective)
-            implements NodeMessage {}
+    record Describe(TaskName task, long run, RunProfile profile) implements NodeMessage {}
 
     /**
      * Ends that are stored.
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -10,6 +10,7 @@
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedTask;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StartOutcome;
@@ -79,7 +80,8 @@
     }
 
     private static StartOrder order(long run, boolean filler) {
-        return new StartOrder(TASK, run, "spec", "", filler ? 0.4 : 0, Duration.ZERO);
+        return new StartOrder(
+                TASK, run, "spec", "", new RunProfile(filler ? 0.4 : 0, 1, Duration.ZERO));
     }
 
     private void start(long permit, StartOrder order) {
@@ -227,7 +229,8 @@
     void fillersArePacedWhileAnObjectiveIsMissed() {
         start(mOwner.mPing, order(1, true));
         TaskName serving = TaskName.parse("b.0.0.0");
-        StartOrder order = new StartOrder(serving, 1, "spec", "", 0, Duration.ofMillis(50));
+        StartOrder order =
+                new StartOrder(serving, 1, "spec", "", new RunProfile(0, 0, Duration.ofMillis(50)));
         start(mOwner.mPing, order);
         mWorker.mRunning.removeIf(row -> row.task().equals(serving));
         mWorker.mRunning.add(new RunningTask(serving, 1, "", 100, 80));
--- a/node/src/test/java/org/knapweedbank/node/agent/FillerPacerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FillerPacerTest.java
@@ -2,8 +2,10 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.RunProfile;
 
 /** Pace of fillers beside serving tasks, one decision each half second. */
 class FillerPacerTest {
@@ -23,8 +25,30 @@
         }
     }
 
+    private List<Integer> paces(RunProfile... fillers) {
+        return mPacer.paces(List.of(fillers));
+    }
+
     private int pace(double pressure) {
-        return mPacer.paces(List.of(pressure)).getFirst();
+        return paces(filler(pressure)).getFirst();
+    }
+
+    /** A filler whose caller gains as much as that of all others. */
+    private static RunProfile filler(double pressure) {
+        return filler(pressure, 1 / pressure);
+    }
+
+    private static RunProfile filler(double pressure, double rank) {
+        return new RunProfile(pressure, rank, Duration.ZERO);
+    }
+
+    /** Guards against many fillers that all crawl, so that none ends in time. */
+    @Test
+    void fillerOfTheHighestRankGetsTheBudgetFirst() {
+        observe(8, 0.7);
+        List<Integer> paces = paces(filler(0.15, 1), filler(0.15, 3), filler(0.15, 2));
+        assertThat(paces.get(1)).isEqualTo(FillerPacer.FULL);
+        assertThat(paces.get(0)).isLessThan(paces.get(2));
     }
 
     /** Guards against harm that lasts: fillers must be all but halted within two seconds. */
@@ -72,17 +96,16 @@
     void fillerThatJoinsSharesTheBudget() {
         observe(5, 0.77);
         int alone = pace(PRESSURE);
-        assertThat(mPacer.paces(List.of(PRESSURE, PRESSURE)).getLast()).isAtMost(alone / 2 + 1);
+        assertThat(paces(filler(PRESSURE), filler(PRESSURE)).getLast()).isAtMost(alone / 2 + 1);
     }
 
     /** Guards against harmless batch work that waits because a heavy filler runs beside it. */
     @Test
     void harmlessFillersKeepTheirPaceBesideAHeavyOne() {
-        List<Double> pressures = List.of(0.5, 0.01, 0.5, 0.01);
         for (int i = 0; i < 8; i++) {
             observe(List.of(0.8), 1.02);
         }
-        List<Integer> paces = mPacer.paces(pressures);
+        List<Integer> paces = paces(filler(0.5), filler(0.01), filler(0.5), filler(0.01));
         assertThat(paces.get(1)).isEqualTo(FillerPacer.FULL);
         assertThat(paces.get(3)).isEqualTo(FillerPacer.FULL);
         assertThat(paces.get(0)).isLessThan(30);
@@ -95,7 +118,7 @@
         for (int i = 0; i < 3; i++) {
             observe(List.of(1.2), 0.51);
         }
-        assertThat(mPacer.paces(List.of(0.5, 0.01))).containsExactly(0, 0);
+        assertThat(paces(filler(0.5), filler(0.01))).containsExactly(0, 0);
     }
 
     /** Guards against fillers that are halted because one high figure is read several times. */
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -12,6 +12,7 @@
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
@@ -244,11 +245,8 @@
     }
 
     @Override
-    public void describe(
-            DaemonId agent, TaskName task, long run, double pressure, Duration latencyObjective) {
-        mNodes.get(agent)
-                .mSession
-                .received(new NodeMessage.Describe(task, run, pressure, latencyObjective));
+    public void describe(DaemonId agent, TaskName task, long run, RunProfile profile) {
+        mNodes.get(agent).mSession.received(new NodeMessage.Describe(task, run, profile));
     }
 
     @Override
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -15,6 +15,7 @@
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
@@ -97,12 +98,7 @@
         public void stop(DaemonId agent, TaskName task, long run) {}
 
         @Override
-        public void describe(
-                DaemonId agent,
-                TaskName task,
-                long run,
-                double pressure,
-                Duration latencyObjective) {}
+        public void describe(DaemonId agent, TaskName task, long run, RunProfile profile) {}
 
         @Override
         public void acknowledgeEnds(DaemonId agent, long number) {}
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -18,6 +18,7 @@
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunningTask;
 import org.knapweedbank.jobs.StartOrder;
 import org.knapweedbank.jobs.StartOutcome;
@@ -65,6 +66,7 @@
                         Duration.ZERO,
                         -1);
         JobSubmission submission = new JobSubmission(JOB, "text", List.of(step), Timetable.ONCE);
+        RunProfile profile = new RunProfile(0.5, 0.25, Duration.ofMillis(50));
         return Stream.of(
                 new NodeMessage.AgentHello(new DaemonId("a"), 5, new DataCentreId("dc")),
                 new NodeMessage.EntryHello(new DaemonId("e")),
@@ -80,10 +82,9 @@
                 new NodeMessage.Outcome(TASK, 2, StartOutcome.REFUSED),
                 new NodeMessage.WorkerUpdate(info),
                 new NodeMessage.WorkerLost(WORKER, "why"),
-                new NodeMessage.Start(
-                        WORKER, 4, new StartOrder(TASK, 2, "s", "c", 0.5, Duration.ofMillis(50))),
+                new NodeMessage.Start(WORKER, 4, new StartOrder(TASK, 2, "s", "c", profile)),
                 new NodeMessage.Stop(TASK, 2),
-                new NodeMessage.Describe(TASK, 2, 0.5, Duration.ofMillis(50)),
+                new NodeMessage.Describe(TASK, 2, profile),
                 new NodeMessage.EndsStored(8),
                 new NodeMessage.Call(1, new CallRequest.Submit(QUEUE, submission)),
                 new NodeMessage.Call(1, new CallRequest.Read(QUEUE, JOB)),
