Let no waiting filler join a VM whose serving tasks leave it no room

A filler that had waited for a quarter of its objective took a VM although it disturbed the serving tasks there by 0.15 of utilization beyond what their objective allows. Now it may demand less of a VM, but not disturb more.

PlacementTest.fillerThatHasWaitedDisturbsNoMoreThanOneThatHasNot fails on the code before (it starts).

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerPatience.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerPatience.java
@@ -5,8 +5,8 @@
     /** The filler can wait for a VM that gives it its full pace. */
     FULL_PACE(0.9, 0.05),
 
-    /** It would rather be slow than not run; the agent paces what disturbs too much. */
-    SLOW(0.5, 0.15),
+    /** It would rather be slow than not run, but does not take from the pace of others. */
+    SLOW(0.5, 0.05),
 
     /** Nothing of its job runs: a crawl is better than standing still. */
     CRAWL(0.1, Double.POSITIVE_INFINITY);
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -139,15 +139,29 @@
         assertThat(mWorld.last().mVm().value()).isEqualTo("a");
     }
 
-    /** An idle filler job beside a serving task near its limit; returns the number of starts. */
-    private int startsBesideServing(long servingCpu) {
+    /** A serving task that has most of a VM, with a given tail latency. */
+    private void serve(long servingCpu, long latencyMillis) {
         mWorld.join("a", 8_000);
         mWorld.submit("web", OwnerWorld.serving(1, servingCpu, -1));
         mWorld.store();
         OwnerWorld.Order web = mWorld.last();
-        RunningTask nearLimit = new RunningTask(web.mTask(), web.mRun(), "", 100, 48);
-        mWorld.mOwner.progress(
-                web.mVm(), OwnerWorld.worker("a", 1, 0, false).id(), List.of(nearLimit));
+        RunningTask row = new RunningTask(web.mTask(), web.mRun(), "", 100, latencyMillis);
+        mWorld.mOwner.progress(web.mVm(), OwnerWorld.worker("a", 1, 0, false).id(), List.of(row));
+    }
+
+    /** Guards against waiting fillers that slow down all others of a VM by joining them. */
+    @Test
+    void fillerThatHasWaitedDisturbsNoMoreThanOneThatHasNot() {
+        serve(6_000, 32);
+        mWorld.submit("filler", OwnerWorld.step(1, 800, FILLER));
+        mWorld.store();
+        mWorld.pass(Duration.ofSeconds(2), "a");
+        assertThat(mWorld.mStarts).hasSize(1);
+    }
+
+    /** An idle filler job beside a serving task near its limit; returns the number of starts. */
+    private int startsBesideServing(long servingCpu) {
+        serve(servingCpu, 48);
         mWorld.submit("filler", OwnerWorld.step(2, 3_500, FILLER));
         mWorld.store();
         mWorld.pass(Duration.ofMillis(1_400), "a");
