Keep the serving tasks of a step together

A VM with tasks of many jobs always has one at its peak.

A serving task now prefers VMs that have tasks of its step, then those with room for all waiting ones of it; VMs without serving tasks stay free as long as others have room, as before.

PlacementTest.servingTaskGoesBackToTheVmOfItsStep fails on the code before. BatchOverloadTest does not change: its standing tasks are alike.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -40,6 +40,15 @@
     /** Taken off the score of the VM that keeps room for the task. */
     private static final double CLAIMED = 2.0;
 
+    /** Added to the score of a VM without serving tasks, for a serving task. */
+    private static final double KEPT_FREE = 4.0;
+
+    /** Taken off the score of a VM that has tasks of the same step, for a serving task. */
+    private static final double WITH_ITS_STEP = 2.0;
+
+    /** Taken off the score of a VM that has room for all waiting tasks of a serving step. */
+    private static final double ROOM_FOR_STEP = 1.0;
+
     /** Added to a score when the task has failed on the VM before. */
     private static final double FAILED_BEFORE = 2.0;
 
@@ -132,15 +141,34 @@
         return score + DISTURBANCE * disturbance(spec, vm, pressure);
     }
 
+    /**
+     * Score of a VM for a serving task. VMs without serving tasks are kept free as long as others
+     * have room. The load of a step's tasks rises and falls together, and fillers get what the one
+     * with the highest load leaves them: so the tasks of a step go together.
+     */
+    private static double servingScore(Task task, Vm vm, double capacity) {
+        Step step = task.mStep;
+        double score = vm.mFillerCpu / capacity - 2 * vm.mServingCpu / capacity;
+        if (vm.mEmptying) {
+            score += EMPTYING;
+        }
+        if (vm.mServingCpu == 0) {
+            return score + KEPT_FREE;
+        }
+        if (vm.attemptsOf(step) > 0) {
+            return score - WITH_ITS_STEP;
+        }
+        long cpu = Math.max(1, step.mSpec.perTask().milliCpu());
+        double fitting = Math.min(step.mWaiting, vm.free().milliCpu() / cpu);
+        return score - ROOM_FOR_STEP * fitting / step.mWaiting;
+    }
+
     private static double score(Task task, Vm vm, PressureEstimator pressure) {
         StepSpec spec = task.mStep.mSpec;
         double capacity = Math.max(1, vm.mWorker.capacity().milliCpu());
         double score;
         if (spec.serving()) {
-            score = vm.mFillerCpu / capacity - 2 * vm.mServingCpu / capacity;
-            if (vm.mEmptying) {
-                score += EMPTYING;
-            }
+            score = servingScore(task, vm, capacity);
         } else if (spec.traits().filler()) {
             score = fillerScore(task, vm, pressure);
         } else {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -127,6 +127,23 @@
         assertThat(mWorld.last().mTask().job().value()).isEqualTo("small");
     }
 
+    /** Guards against a mix of steps on each VM, of which one always has its peak. */
+    @Test
+    void servingTaskGoesBackToTheVmOfItsStep() {
+        mWorld.join("a", 8_000);
+        mWorld.submit("web", OwnerWorld.serving(4, 1_000, -1));
+        mWorld.store();
+        OwnerWorld.Order first = mWorld.last();
+        mWorld.join("b", 8_000);
+        mWorld.submit("other", OwnerWorld.serving(1, 6_000, -1));
+        mWorld.store();
+        assertThat(mWorld.last().mVm().value()).isEqualTo("b");
+        mWorld.end(first, EndKind.LAPSED, "");
+        mWorld.pass(Duration.ofSeconds(1), "a", "b");
+        assertThat(mWorld.last().mTask()).isEqualTo(first.mTask());
+        assertThat(mWorld.last().mVm().value()).isEqualTo("a");
+    }
+
     /** Guards against small batch tasks that break up the VMs on which fillers disturb nobody. */
     @Test
     void batchTasksTakeTheSmallestRoom() {
