Count a job as uncertain before the failure of its write is told

When a write got no answer, RecordWriter told its listener of the failure before it noted the jobs of the write as uncertain. In that moment they were neither under way nor uncertain, and OwnerDuty refuses, on word of a failure, jobs that have waited for 0.7 s and that no write can have stored; it answers all calls that wait for such a job, also those that have just come. The write may have been made all the same.

The new test fails on the code before for each kind of unanswered write (false where true is expected) and passes with the jobs noted first.

--- a/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -175,6 +175,9 @@
         if (mStopped) {
             return;
         }
+        if (outcome instanceof WriteOutcome.Unknown) {
+            mUncertain.addAll(versions.keySet());
+        }
         if (!(outcome instanceof WriteOutcome.Written)) {
             failed(outcome);
         }
@@ -193,10 +196,7 @@
                 pump();
             }
             case WriteOutcome.Conflict conflict -> conflict(versions, listVersion, conflict);
-            case WriteOutcome.Unknown ignored -> {
-                mUncertain.addAll(versions.keySet());
-                later(RETRY);
-            }
+            case WriteOutcome.Unknown ignored -> later(RETRY);
             case WriteOutcome.NotDone ignored -> later(RETRY);
             case WriteOutcome.LeaseEnded ignored -> later(RETRY);
         }
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -52,6 +53,7 @@
     private JobOwner mOwner;
     private RecordWriter mWriter;
     private boolean mDeposed;
+    private Runnable mOnFailing = () -> {};
 
     @BeforeEach
     void elect() throws IOException {
@@ -82,7 +84,9 @@
         public void written() {}
 
         @Override
-        public void failing() {}
+        public void failing() {
+            mOnFailing.run();
+        }
 
         @Override
         public void deposed() {
@@ -185,6 +189,22 @@
         assertThat(job.storedVersion()).isGreaterThan(0);
     }
 
+    /** Guards against a refusal, made on word of the failure, of a job whose write may be made. */
+    @ParameterizedTest
+    @EnumSource(
+            value = FakeStore.WriteFault.class,
+            names = {"ANSWER_LOST", "SILENT", "DONE_LATE"})
+    void jobOfAnUnansweredWriteIsUncertainWhenTheFailureIsTold(FakeStore.WriteFault fault) {
+        mStore.mWriteFaults.add(fault);
+        List<Boolean> uncertain = new ArrayList<>();
+        Job[] job = new Job[1];
+        mOnFailing = () -> uncertain.add(mWriter.uncertain(job[0]));
+        job[0] = submit("a");
+        mTimers.pass(Duration.ofSeconds(5));
+        assertThat(uncertain).contains(true);
+        assertThat(uncertain).doesNotContain(false);
+    }
+
     /** Guards against new jobs that are held to their limit while the store does not answer. */
     @Test
     void writeWithoutAnAnswerCountsAsFailing() {
