Take no upgrade to HTTP/2 in the stand-in upstream

Cause: the test's client offers an upgrade to HTTP/2 with its first request, and the server took it. The server closes its connections a millisecond after the answer; a client that is still changing the protocol then loses what it has received.

The stand-in's ports now answer in HTTP/1.1, which is all that the platform speaks. answersAnOfferedUpgradeInHttp11 failed before ("but was: HTTP_2").

--- a/standin/src/main/java/org/knapweedbank/standin/UpstreamServer.java
+++ b/standin/src/main/java/org/knapweedbank/standin/UpstreamServer.java
@@ -68,8 +68,8 @@
         mSettings = settings;
         mClock = clock;
         mServiceMillis = settings.serviceTime().toMillis();
-        mServer = vertx.createHttpServer(new HttpServerOptions().setHost(settings.host()));
-        mAdmin = vertx.createHttpServer(new HttpServerOptions().setHost(settings.host()));
+        mServer = vertx.createHttpServer(options());
+        mAdmin = vertx.createHttpServer(options());
     }
 
     /**
@@ -159,6 +159,14 @@
         mLeft.tryComplete();
     }
 
+    /**
+     * Options of both ports. They take no upgrade to HTTP/2: a client may lose the first answer
+     * after it when the connection is closed at once.
+     */
+    private HttpServerOptions options() {
+        return new HttpServerOptions().setHost(mSettings.host()).setHttp2ClearTextEnabled(false);
+    }
+
     private synchronized UpstreamAnnouncer announcer() {
         return mAnnouncer;
     }
--- a/standin/src/test/java/org/knapweedbank/standin/UpstreamServerTest.java
+++ b/standin/src/test/java/org/knapweedbank/standin/UpstreamServerTest.java
@@ -169,6 +169,15 @@
         await(mUpstream.left());
     }
 
+    /** Guards against an upgrade to HTTP/2, in which an answer is lost when the upstream leaves. */
+    @Test
+    void answersAnOfferedUpgradeInHttp11() throws Exception {
+        HttpRequest.Builder settings = admin("/admin/settings", "{}");
+        assertThat(send(settings).version()).isEqualTo(HttpClient.Version.HTTP_1_1);
+        HttpRequest.Builder work = request(mUpstream.port(), "/work");
+        assertThat(send(work).version()).isEqualTo(HttpClient.Version.HTTP_1_1);
+    }
+
     /** Guards against a leave that breaks off a request in flight. */
     @Test
     void leaveWaitsForRequestsInFlight() throws Exception {
