Count failures of a task in whatever order a new owner hears of them

Cause: a task kept only the number of its newest failed run, and a failure of an older run was taken for one that is counted already. Failures that the former owner could not store any more come to the next owner from the VMs, in the order in which these report. When the second failure comes first, the first one is dropped. The same happens in one term when a VM out of reach returns and lists the failure of a run that has been replaced since.

Ruled out: a start before all VMs have reported; the job waits for them (inheritedTaskWaitsUntilAllKnownVmsHaveReported).

A task keeps the set of its failed runs (FailedRuns); each counts once. The format of the job record changes to 2; records of format 1 are not read. The test fixture handed the present jobs to a successor, not the stored ones, which hid such faults; it now hands over what was written.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -20,7 +20,7 @@
     /** Pause before a task that failed is started again, doubled with each failure. */
     private static final long RETRY_PAUSE_MILLIS = 50;
 
-    private static final long LONGEST_RETRY_PAUSE_MILLIS = 800;
+    private static final int RETRY_PAUSE_DOUBLINGS = 4;
 
     /** Pause of a VM that refused a start for want of room or because it is unhealthy. */
     private static final long REFUSAL_PAUSE_MILLIS = 250;
@@ -225,25 +225,29 @@
 
     private void failed(Vm vm, Task task, EndedTask end) {
         Job job = task.mStep.mJob;
-        if (end.run() <= task.mLastFailedRun || task.mDone) {
+        if (task.mDone || !task.mFailures.add(end.run())) {
             return;
         }
-        task.mLastFailedRun = end.run();
-        task.mFailures++;
         task.mFailedOn.add(vm.mAgent);
-        long pause = RETRY_PAUSE_MILLIS << Math.min(task.mFailures, 5);
-        task.mNotBefore = mState.now() + Math.min(LONGEST_RETRY_PAUSE_MILLIS, pause);
+        int doublings = Math.min(RETRY_PAUSE_DOUBLINGS, task.mFailures.count());
+        task.mNotBefore = mState.now() + (RETRY_PAUSE_MILLIS << doublings);
         if (vm.mHealth.failed(job.id(), mState.now())) {
             mState.mLog.record("vm.suspended", vm.mAgent.value(), "cause", "failures in a row");
         }
         if (task.mStep.mSpec.traits().longRunning()) {
+            task.mFailures.keepNewest(RETRY_PAUSE_DOUBLINGS);
             return;
         }
-        if (task.mFailures >= job.queue().maxAttempts()) {
+        if (task.mFailures.count() >= job.queue().maxAttempts()) {
             job.mFailed = true;
             job.finish(mState.now());
             mState.mLog.record(
-                    "job.failed", job.id().value(), "task", task.mName, "tries", task.mFailures);
+                    "job.failed",
+                    job.id().value(),
+                    "task",
+                    task.mName,
+                    "tries",
+                    task.mFailures.count());
             stopAll(job, "job has failed");
         } else {
             job.changed();
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobRecords.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobRecords.java
@@ -12,7 +12,7 @@
 
 /** Codec of the stored record of a job: the submission and what must outlive all processes. */
 public final class JobRecords {
-    private static final int FORMAT = 1;
+    private static final int FORMAT = 2;
 
     private JobRecords() {}
 
@@ -73,7 +73,7 @@
     }
 
     private static boolean touched(Task task) {
-        return task.mDone || task.mFailures > 0 || !task.mCheckpoint.isEmpty();
+        return task.mDone || task.mFailures.count() > 0 || !task.mCheckpoint.isEmpty();
     }
 
     private static void packTask(MessageBufferPacker packer, Task task) throws IOException {
@@ -81,8 +81,7 @@
         packer.packInt(task.mName.step());
         packer.packInt(task.mName.index());
         packer.packBoolean(task.mDone);
-        packer.packInt(task.mFailures);
-        packer.packLong(task.mLastFailedRun);
+        task.mFailures.pack(packer);
         packer.packString(task.mDone ? "" : task.mCheckpoint);
     }
 
@@ -91,8 +90,7 @@
         Step step = occurrence.mSteps.get(in.unpackInt());
         Task task = step.mTasks.get(in.unpackInt());
         task.mDone = in.unpackBoolean();
-        task.mFailures = in.unpackInt();
-        task.mLastFailedRun = in.unpackLong();
+        task.mFailures.unpack(in);
         task.mCheckpoint = in.unpackString();
         job.mStarted = true;
         if (task.mDone) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -10,8 +10,7 @@
     final TaskName mName;
     final Step mStep;
     boolean mDone;
-    int mFailures;
-    long mLastFailedRun;
+    final FailedRuns mFailures = new FailedRuns();
     String mCheckpoint = "";
 
     /** Number of the newest run that this owner ordered or has seen. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerWorld.java
@@ -53,6 +53,9 @@
     final List<Line> mLog = new ArrayList<>();
     final Map<DaemonId, Long> mStoredEnds = new HashMap<>();
     private final Map<String, Long> mEnds = new HashMap<>();
+    private final Map<JobId, byte[]> mRecords = new HashMap<>();
+    private final long mTerm;
+    private byte[] mListRecord = {};
     private long mRevision = 100;
 
     /** An order that went to an agent. */
@@ -67,6 +70,7 @@
 
     OwnerWorld(ManualClock clock, long term, VmList list) {
         mClock = clock;
+        mTerm = term;
         mOwner = new JobOwner(SETTINGS, clock, this, this::record, term, list);
         mOwner.configure(List.of(queue(2)));
         mOwner.viewIsCurrent();
@@ -74,18 +78,17 @@
 
     /** The owner of the next term, with what this one has stored. */
     OwnerWorld successor() throws IOException {
-        VmList list = VmList.decode(mOwner.vmList().encode(), mOwner.vmList().revision());
-        OwnerWorld next = new OwnerWorld(mClock, 2, list);
-        for (Job job : mJobs.values()) {
-            if (job.stored()) {
-                next.mOwner.load(JobRecords.encode(job), job.revision());
-            }
+        VmList list = VmList.decode(mListRecord, mOwner.vmList().revision());
+        OwnerWorld next = new OwnerWorld(mClock, mTerm + 1, list);
+        next.mRevision = mRevision;
+        next.mListRecord = mListRecord;
+        next.mRecords.putAll(mRecords);
+        for (byte[] record : mRecords.values()) {
+            next.mOwner.load(record, mRevision);
         }
         return next;
     }
 
-    private final Map<String, Job> mJobs = new HashMap<>();
-
     static JobQueue queue(int maxAttempts) {
         return new JobQueue(
                 QUEUE, "svc", 0, maxAttempts, 2, Duration.ofSeconds(1), Duration.ofSeconds(3));
@@ -122,9 +125,7 @@
         JobSubmission submission =
                 new JobSubmission(new JobId(id), "text", List.of(steps), Timetable.ONCE);
         SubmitResult result = mOwner.submit(submission, QUEUE);
-        Job job = ((SubmitResult.Known) result).job();
-        mJobs.put(id, job);
-        return job;
+        return ((SubmitResult.Known) result).job();
     }
 
     private void record(String event, Object subject, Object... fields) {
@@ -142,9 +143,11 @@
     /** Writes all that is dirty, then schedules. */
     void store() {
         for (Job job : mOwner.unwritten(100)) {
+            mRecords.put(job.id(), JobRecords.encode(job));
             mOwner.written(job, job.version(), ++mRevision);
         }
         VmList list = mOwner.vmList();
+        mListRecord = list.encode();
         mOwner.listWritten(list.version(), ++mRevision);
         mOwner.confirmed();
         mOwner.acknowledge();
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -117,6 +117,36 @@
                 .isEqualTo(JobState.RUNNING);
     }
 
+    /** Guards against a failure that is not counted when a later one is heard of first. */
+    @Test
+    void failuresCountInWhateverOrderTheNextOwnerHearsOfThem() throws IOException {
+        mFormer.join("vm", 8_000);
+        mFormer.join("other", 8_000);
+        mFormer.submit("a", OwnerWorld.step(1, 1_000, StepTraits.BATCH));
+        mFormer.store();
+        OwnerWorld.Order first = mFormer.last();
+        mFormer.started(first);
+        mFormer.end(first, EndKind.FAILED, "");
+        mFormer.pass(Duration.ofSeconds(1), "vm", "other");
+        OwnerWorld.Order second = mFormer.last();
+        mFormer.started(second);
+        assertThat(second.mVm()).isNotEqualTo(first.mVm());
+        OwnerWorld next = mFormer.successor();
+        reportFailure(next, second);
+        reportFailure(next, first);
+        next.store();
+        next.pass(Duration.ofSeconds(1), "vm", "other");
+        assertThat(next.mStarts).isEmpty();
+        assertThat(next.mOwner.find(first.mTask().job()).orElseThrow().state())
+                .isEqualTo(JobState.FAILED);
+    }
+
+    private static void reportFailure(OwnerWorld owner, OwnerWorld.Order order) {
+        String vm = order.mVm().value();
+        EndedTask end = new EndedTask(1, order.mTask(), order.mRun(), EndKind.FAILED, "");
+        owner.report(vm, OwnerWorld.worker(vm, 1, 8_000, false), List.of(), List.of(end), false);
+    }
+
     /** Guards against a task that is kept on two VMs. */
     @Test
     void secondRunOfATaskIsStopped() throws IOException {
