Keep the time that owners have waited for a silent VM over takeovers

A new owner starts no inherited task until all listed VMs have reported, or 13.6 s have passed, after which nothing can run there. Each of four owners (from 7.9, 18.2, 23.2 and 27.9 s) began the wait anew.

The list now keeps, for each VM that the present owner has not heard from, how long owners have waited, written once a second. Time between terms does not count, so the sum is never longer than the true silence. A VM that is heard from after all gets no answer until the list without its silence is stored; otherwise a later owner could take it for gone while its permits last. The log line vm.resolved tells the silence.

Both new tests failed before: the third owner waited anew, and an answer was given while the store named the VM silent.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.jobs.owner;
 
 import java.io.IOException;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
 import org.knapweedbank.jobs.WorkerId;
@@ -15,7 +16,11 @@
  * what an earlier owner may have started.
  */
 public final class VmList {
-    private final Map<DaemonId, WorkerId> mWorkers = new HashMap<>();
+    private final Map<DaemonId, ListedVm> mVms = new HashMap<>();
+
+    /** Versions that no longer name the silence of a VM that was heard from. */
+    private final Map<DaemonId, Long> mHeardVersions = new HashMap<>();
+
     private long mVersion;
     private long mStoredVersion;
     private long mRevision;
@@ -40,7 +45,8 @@
             int count = in.unpackArrayHeader();
             for (int i = 0; i < count; i++) {
                 DaemonId agent = new DaemonId(in.unpackString());
-                list.mWorkers.put(agent, new WorkerId(in.unpackString(), in.unpackLong()));
+                WorkerId worker = new WorkerId(in.unpackString(), in.unpackLong());
+                list.mVms.put(agent, new ListedVm(worker, Duration.ofMillis(in.unpackLong())));
             }
         } catch (RuntimeException e) {
             throw new IOException("malformed list of VMs", e);
@@ -55,11 +61,13 @@
      */
     public byte[] encode() {
         try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
-            packer.packArrayHeader(mWorkers.size());
-            for (Map.Entry<DaemonId, WorkerId> entry : mWorkers.entrySet()) {
+            packer.packArrayHeader(mVms.size());
+            for (Map.Entry<DaemonId, ListedVm> entry : mVms.entrySet()) {
+                ListedVm vm = entry.getValue();
                 packer.packString(entry.getKey().value());
-                packer.packString(entry.getValue().id());
-                packer.packLong(entry.getValue().incarnation());
+                packer.packString(vm.worker().id());
+                packer.packLong(vm.worker().incarnation());
+                packer.packLong(vm.silence().toMillis());
             }
             return packer.toByteArray();
         } catch (IOException e) {
@@ -94,22 +102,49 @@
         return mStoredVersion < mVersion;
     }
 
-    Map<DaemonId, WorkerId> workers() {
-        return Map.copyOf(mWorkers);
+    Map<DaemonId, ListedVm> vms() {
+        return Map.copyOf(mVms);
     }
 
     boolean names(DaemonId agent, WorkerId worker) {
-        return worker.equals(mWorkers.get(agent));
+        ListedVm vm = mVms.get(agent);
+        return vm != null && vm.worker().equals(worker);
     }
 
+    /** Lists a VM that the owner has heard from. */
     void put(DaemonId agent, WorkerId worker) {
-        if (!worker.equals(mWorkers.put(agent, worker))) {
+        ListedVm vm = new ListedVm(worker, Duration.ZERO);
+        ListedVm former = mVms.put(agent, vm);
+        if (vm.equals(former)) {
+            return;
+        }
+        mVersion++;
+        if (former != null && !former.silence().isZero()) {
+            mHeardVersions.put(agent, mVersion);
+        }
+    }
+
+    /** Sets the time in which nobody has heard from a VM. */
+    void silent(DaemonId agent, Duration silence) {
+        ListedVm vm = mVms.get(agent);
+        if (vm != null && !vm.silence().equals(silence)) {
+            mVms.put(agent, new ListedVm(vm.worker(), silence));
             mVersion++;
         }
     }
 
+    /**
+     * Tells whether the stored list may name a silence of the VM. A VM that is answered then would
+     * be taken for gone too early by a later owner.
+     */
+    boolean storedAsSilent(DaemonId agent) {
+        ListedVm vm = mVms.get(agent);
+        boolean silent = vm != null && !vm.silence().isZero();
+        return silent || mHeardVersions.getOrDefault(agent, 0L) > mStoredVersion;
+    }
+
     void remove(DaemonId agent) {
-        if (mWorkers.remove(agent) != null) {
+        if (mVms.remove(agent) != null) {
             mVersion++;
         }
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -31,15 +32,21 @@
     private final VmList mList;
     private final HangDetector mHangs;
 
+    /** Time after which the growing silence of a VM is stored again. */
+    private static final long SILENCE_STEP_MILLIS = 1_000;
+
     /** VMs of earlier owners that have not yet told this owner what they run. */
-    private final Map<DaemonId, WorkerId> mUnresolved;
+    private final Map<DaemonId, ListedVm> mUnresolved;
+
+    private long mSilenceStoredAt;
 
     VmTracker(OwnerState state, AttemptTracker attempts, VmList list) {
         mState = state;
         mAttempts = attempts;
         mList = list;
         mHangs = new HangDetector(state, attempts);
-        mUnresolved = new HashMap<>(list.workers());
+        mUnresolved = new HashMap<>(list.vms());
+        mSilenceStoredAt = state.mTakenOverAt;
     }
 
     VmList list() {
@@ -51,8 +58,17 @@
      * not reported yet.
      */
     boolean unresolved() {
-        long waited = mState.now() - mState.mTakenOverAt;
-        return !mUnresolved.isEmpty() && waited < mState.mSettings.earlierOwnerEnd().toMillis();
+        return mUnresolved.values().stream().anyMatch(vm -> !gone(vm));
+    }
+
+    /** Tells whether nothing can run any more on a VM that no owner has heard from. */
+    private boolean gone(ListedVm vm) {
+        return silence(vm).compareTo(mState.mSettings.earlierOwnerEnd()) >= 0;
+    }
+
+    /** Time without a word from a VM, over all terms. What passes between terms does not count. */
+    private Duration silence(ListedVm vm) {
+        return vm.silence().plusMillis(mState.now() - mState.mTakenOverAt);
     }
 
     void report(DaemonId agent, DataCentreId dataCentre, AgentReport report, boolean sameProcess) {
@@ -120,7 +136,7 @@
     /** Tells whether the agent may be answered, which gives it authority over leases for a time. */
     boolean answers(DaemonId agent) {
         Vm vm = mState.mVms.get(agent);
-        if (vm == null || !mState.confirmed()) {
+        if (vm == null || !mState.confirmed() || mList.storedAsSilent(agent)) {
             return false;
         }
         vm.mAnsweredAt = mState.now();
@@ -135,8 +151,19 @@
                 .filter(vm -> mState.now() - mState.mTakenOverAt > limit)
                 .toList()
                 .forEach(vm -> forget(vm, "out of reach longer than its lease"));
-        if (!mUnresolved.isEmpty() && !unresolved()) {
-            Set.copyOf(mUnresolved.keySet()).forEach(this::resolve);
+        mUnresolved.entrySet().stream()
+                .filter(entry -> gone(entry.getValue()))
+                .map(Map.Entry::getKey)
+                .toList()
+                .forEach(this::resolve);
+        storeSilence();
+    }
+
+    /** Has the silence of VMs stored, so that a later owner need not wait for them anew. */
+    private void storeSilence() {
+        if (mState.now() - mSilenceStoredAt >= SILENCE_STEP_MILLIS) {
+            mSilenceStoredAt = mState.now();
+            mUnresolved.forEach((agent, vm) -> mList.silent(agent, silence(vm)));
         }
     }
 
@@ -185,14 +212,22 @@
     }
 
     private void resolveIf(DaemonId agent, WorkerId worker) {
-        if (worker.equals(mUnresolved.get(agent))) {
+        ListedVm vm = mUnresolved.get(agent);
+        if (vm != null && vm.worker().equals(worker)) {
             resolve(agent);
         }
     }
 
     private void resolve(DaemonId agent) {
-        if (mUnresolved.remove(agent) != null) {
-            mState.mLog.record("vm.resolved", agent.value(), "left", mUnresolved.size());
+        ListedVm vm = mUnresolved.remove(agent);
+        if (vm != null) {
+            mState.mLog.record(
+                    "vm.resolved",
+                    agent.value(),
+                    "silence_ms",
+                    silence(vm).toMillis(),
+                    "left",
+                    mUnresolved.size());
             if (!mState.mVms.containsKey(agent)) {
                 mList.remove(agent);
             }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -66,6 +66,47 @@
         assertThat(next.last().mRun()).isGreaterThan(order.mRun());
     }
 
+    /** Guards against a wait for a VM that is gone that begins anew with each owner. */
+    @Test
+    void silenceOfAVmCountsOverTakeovers() throws IOException {
+        runOne();
+        OwnerWorld second = mFormer.successor();
+        second.join("other", 8_000);
+        Duration end = OwnerWorld.SETTINGS.earlierOwnerEnd();
+        second.pass(end.dividedBy(2), "other");
+        second.store();
+        OwnerWorld third = second.successor();
+        third.join("other", 8_000);
+        third.pass(end.dividedBy(2).minusMillis(100), "other");
+        assertThat(third.mStarts).isEmpty();
+        third.pass(Duration.ofMillis(1_200), "other");
+        assertThat(third.mStarts).hasSize(1);
+    }
+
+    /** Guards against a second run on account of a silence that has ended since it was stored. */
+    @Test
+    void vmThatWasSilentIsAnsweredOnceItsReturnIsStored() throws IOException {
+        OwnerWorld.Order order = runOne();
+        OwnerWorld second = mFormer.successor();
+        second.join("other", 8_000);
+        second.pass(Duration.ofSeconds(5), "other");
+        second.store();
+        second.report(
+                "vm",
+                OwnerWorld.worker("vm", 1, 8_000, false),
+                List.of(row(order)),
+                List.of(),
+                false);
+        assertThat(second.mOwner.answers(new DaemonId("vm"))).isFalse();
+        second.store();
+        assertThat(second.mOwner.answers(new DaemonId("vm"))).isTrue();
+        OwnerWorld third = second.successor();
+        third.join("other", 8_000);
+        Duration end = OwnerWorld.SETTINGS.earlierOwnerEnd();
+        third.pass(end.minusMillis(100), "other");
+        assertThat(third.mStarts).isEmpty();
+    }
+
     /** Guards against new jobs that wait for the VMs of the former owner. */
     @Test
     void newJobDoesNotWaitForUnreportedVms() throws IOException {
