--- a/faults/src/test/java/org/knapweedbank/faults/membership/MembershipStep.java
+++ b/faults/src/test/java/org/knapweedbank/faults/membership/MembershipStep.java
@@ -11,5 +11,7 @@
     BACK_ANNOUNCED,
     ANNOUNCEMENT_LAPSES,
     AGENT_RESTARTED,
-    OWNER_TAKEOVER
+    OWNER_TAKEOVER,
+    /** A former owner, apart from the present one, still sends the upstreams that it knows. */
+    FORMER_OWNER_SNAPSHOT
 }
--- a/faults/src/test/java/org/knapweedbank/faults/membership/MembershipWorld.java
+++ b/faults/src/test/java/org/knapweedbank/faults/membership/MembershipWorld.java
@@ -29,6 +29,9 @@
     private static final Duration SECOND = Duration.ofSeconds(1);
     private static final Duration BOUND = Duration.ofSeconds(3);
 
+    /** Longer than an entry keeps an upstream that the owner no longer lists. */
+    private static final Duration APART = Duration.ofSeconds(45);
+
     private final MembershipStep mStep;
     private final List<Fault> mFaults;
     private final MembershipMutant mMutant;
@@ -44,6 +47,9 @@
     private boolean mFired;
     private boolean mStarted;
 
+    /** Whether the second entry, the present owner, reaches no other entry. */
+    private boolean mOwnerApart;
+
     /** One incarnation of an agent. */
     private final class Agent {
         private final String mName;
@@ -89,6 +95,10 @@
                     mName, () -> owner.mProcess.execute(() -> owner.heartbeat(this, seq, states)));
         }
 
+        private UpstreamKey key() {
+            return new UpstreamKey(new DaemonId(mName), "svc", mName + ":80");
+        }
+
         private UpstreamRecord record(UpstreamState state) {
             return new UpstreamRecord(
                     new DaemonId(mName), mIncarnation, new DataCentreId("a"), mName + ":1", state);
@@ -99,7 +109,7 @@
     private final class Entry {
         private final String mName;
         private final SimProcess mProcess;
-        private UpstreamTable mTable;
+        private final UpstreamTable mTable;
         private final Map<UpstreamKey, UpstreamRecord> mNewest = new HashMap<>();
 
         private Entry(String name) {
@@ -127,11 +137,19 @@
         }
 
         private void sendSnapshot() {
-            if (mOwner == this) {
+            if (mOwner == this || mOwnerApart && deposed()) {
                 send(List.copyOf(mNewest.values()), true);
             }
         }
 
+        private boolean deposed() {
+            return mOwner != this && mName.equals("entry1");
+        }
+
+        private boolean reaches(Entry other) {
+            return !mOwnerApart || this != mOwner && other != mOwner;
+        }
+
         private void send(List<UpstreamRecord> records, boolean snapshot) {
             long epoch = mOwner == this ? mEpoch : 1;
             UpstreamDelta delta = new UpstreamDelta(0, epoch, snapshot, records);
@@ -139,7 +157,7 @@
             for (Entry other : mEntries.values()) {
                 if (other == this) {
                     apply(delta);
-                } else {
+                } else if (reaches(other)) {
                     transport(other.mName, () -> other.mProcess.execute(() -> other.apply(delta)));
                 }
             }
@@ -151,10 +169,6 @@
             long epoch = mMutant == MembershipMutant.FORMER_OWNER_ACCEPTED ? 1_000 : delta.epoch();
             table.apply(
                     new UpstreamDelta(delta.partition(), epoch, delta.snapshot(), delta.records()));
-            if (mTable.epoch(0) > delta.epoch()
-                    && mMutant == MembershipMutant.FORMER_OWNER_ACCEPTED) {
-                mTable = table;
-            }
             for (UpstreamRecord record : delta.records()) {
                 table.get(UpstreamKey.of(record)).ifPresent(this::seen);
             }
@@ -174,13 +188,7 @@
         }
 
         private boolean usable(Agent agent) {
-            Optional<UpstreamRecord> record =
-                    Optional.ofNullable(
-                            mNewest.get(
-                                    new UpstreamKey(
-                                            new DaemonId(agent.mName),
-                                            "svc",
-                                            agent.mName + ":80")));
+            Optional<UpstreamRecord> record = Optional.ofNullable(mNewest.get(agent.key()));
             return record.map(UpstreamRecord::state)
                     .filter(state -> !state.leaving() && !state.gone())
                     .isPresent();
@@ -288,6 +296,26 @@
         }
     }
 
+    /**
+     * An upstream joins under the present owner and is known to all; then the present owner reaches
+     * no other entry for longer than a missing upstream is kept, and the former one sends its list.
+     */
+    private void formerOwnerSends() {
+        Entry former = mEntries.get("entry1");
+        former.mNewest.keySet().removeIf(key -> key.agent().value().equals("agent4"));
+        mOwnerApart = true;
+        step(MembershipStep.FORMER_OWNER_SNAPSHOT);
+        mSimulation.run(APART);
+        Entry other = mEntries.get("entry3");
+        if (other.mTable
+                .get(mAgents.get("agent4").key())
+                .filter(r -> !r.state().gone())
+                .isEmpty()) {
+            mSimulation.violate(8, "a former owner's list removes agent4 from " + other.mName);
+        }
+        mOwnerApart = false;
+    }
+
     private void leaving(String name, boolean leaving) {
         Agent agent = mAgents.get(name);
         agent.mLeaving = leaving;
@@ -326,6 +354,11 @@
             event.run();
             mSimulation.run(Duration.ofMillis(3_500 + mSimulation.random().nextInt(1_000)));
         }
+        if (mStep == MembershipStep.FORMER_OWNER_SNAPSHOT) {
+            mAgents.put("agent4", new Agent("agent4"));
+            mSimulation.run(Duration.ofSeconds(8));
+            formerOwnerSends();
+        }
         mSimulation.run(Duration.ofSeconds(25));
         for (Agent agent : mAgents.values()) {
             agent.mSeam.expire();
