Give fillers the processor time that serving tasks are measured to leave

A filler joined a VM with serving tasks only if its demand fitted into what is not reserved and a fixed 0.3 of what serving tasks reserve. Their load moves between about 0.25 and 0.75 of the reservation, so the room was too small while it was low (and larger than there is while it was high, where the limit on disturbance held instead).

The room now follows the newest figure of each serving task, with a tenth of the reservation kept for a rise of its load.

fillersGetWhatIdleServingTasksReserve failed before (2 of 3 fillers started).

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -15,6 +15,12 @@
 
 /** The owner's view of one VM: its worker, what runs there, and what has been acknowledged. */
 final class Vm {
+    /** Part of a serving task's reservation that counts as unused before its first figure. */
+    private static final double UNUSED_BEFORE_FIGURES = 0.3;
+
+    /** Part of a serving task's reservation that is left to it in case its load rises. */
+    private static final double KEPT_FOR_RISE = 0.1;
+
     final DaemonId mAgent;
     final DataCentreId mDataCentre;
     final VmHealth mHealth = new VmHealth();
@@ -114,6 +120,24 @@
                         .orElse(0);
     }
 
+    /** Processor time that serving tasks reserve and, by their newest figures, do not use. */
+    double unusedByServing() {
+        return mAttempts.values().stream()
+                .filter(attempt -> attempt.mTask.mStep.mSpec.serving())
+                .mapToDouble(this::unused)
+                .sum();
+    }
+
+    private double unused(Attempt attempt) {
+        Double utilization =
+                mSample == null ? null : mSample.utilization().get(attempt.mTask.mName.toString());
+        double share =
+                utilization == null
+                        ? UNUSED_BEFORE_FIGURES
+                        : Math.max(0, 1 - utilization - KEPT_FOR_RISE);
+        return share * attempt.mTask.mStep.mSpec.perTask().milliCpu();
+    }
+
     void add(Attempt attempt) {
         mAttempts.put(attempt.mTask.mName, attempt);
         mClaims.remove(attempt.mTask);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -10,15 +10,12 @@
  * Chooses the VM for a task.
  *
  * <p>Serving tasks are packed, so that few VMs have something that fillers can disturb. Fillers go
- * where the most processor time is left over, counting a part of what serving tasks reserve; those
- * that disturb little leave the VMs without serving tasks to those that disturb much. Other batch
- * tasks take the smallest room that holds them, which keeps whole VMs free for fillers and for
- * large serving tasks.
+ * where the most processor time is left over, counting what serving tasks reserve and do not use;
+ * those that disturb little leave the VMs without serving tasks to those that disturb much. Other
+ * batch tasks take the smallest room that holds them, which keeps whole VMs free for fillers and
+ * for large serving tasks.
  */
 final class VmSelector {
-    /** Share of the processor time reserved by serving tasks that they leave to fillers. */
-    private static final double UNUSED_BY_SERVING = 0.3;
-
     /** Weight of the disturbance of serving tasks, against spare processor time. */
     private static final double DISTURBANCE = 4;
 
@@ -128,7 +125,7 @@
     }
 
     private static double usableSpare(Task task, Vm vm) {
-        return vm.spareCpu() - vm.claimedByOthers(task) + vm.mServingCpu * UNUSED_BY_SERVING;
+        return vm.spareCpu() - vm.claimedByOthers(task) + vm.unusedByServing();
     }
 
     private static double fillerScore(Task task, Vm vm, PressureEstimator pressure) {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/PlacementTest.java
@@ -176,6 +176,15 @@
         assertThat(mWorld.mStarts).hasSize(1);
     }
 
+    /** Guards against room beside serving tasks that stays empty while their load is low. */
+    @Test
+    void fillersGetWhatIdleServingTasksReserve() {
+        serve(6_000, 10);
+        mWorld.submit("filler", OwnerWorld.step(3, 1_500, FILLER));
+        mWorld.store();
+        assertThat(mWorld.mStarts).hasSize(4);
+    }
+
     /** An idle filler job beside a serving task near its limit; returns the number of starts. */
     private int startsBesideServing(long servingCpu) {
         serve(servingCpu, 48);
