Take a run without a figure yet for one at full pace

A worker's figures are means over half a second, so a run that is reported within about that time of its start shows no processor time. Its run time at full pace was scaled by that figure: a short run counted as 0 ms, a longer one as shorter than it is. A step with short tasks then had no work left by its owner's estimate and went before others.

Figures of the first 600 ms count no longer, neither as time asked for nor as time got. runWithoutAFigureCountsWithItsWholeTime failed before (objective of 3,000 ms where 1,800 to 2,000 is due).

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Attempt.java
@@ -2,6 +2,9 @@
 
 /** One run of a task on a VM, from its order to its end. */
 final class Attempt {
+    /** Time after the order of a run in which its worker has no complete figure for it. */
+    private static final long FIGURE_DELAY_MILLIS = 600;
+
     final Task mTask;
     final Vm mVm;
     final long mRun;
@@ -23,7 +26,10 @@
     /** When the worker last told how much processor time the run gets. */
     private long mFiguredAt;
 
-    /** Processor time of the run by the figures of its worker, in core-milliseconds. */
+    /** Processor time that the run asked for, for as long as its worker has had figures for it. */
+    private double mAskedCoreMillis;
+
+    /** Processor time that the run got of it, in core-milliseconds. */
     private double mUsedCoreMillis;
 
     /** Newest figure of the worker, in thousandths of a core. */
@@ -47,7 +53,11 @@
      */
     double use(long figure, long now) {
         double used = figure * (now - mFiguredAt) / 1_000.0;
-        mUsedCoreMillis += used;
+        if (now - mOrderedAt > FIGURE_DELAY_MILLIS) {
+            mUsedCoreMillis += used;
+            mAskedCoreMillis +=
+                    mTask.mStep.mSpec.perTask().milliCpu() * (now - mFiguredAt) / 1_000.0;
+        }
         mFiguredAt = now;
         mFigure = figure;
         return used;
@@ -60,8 +70,7 @@
      * @return milliseconds
      */
     double fullPaceMillis(long now) {
-        double asked = mTask.mStep.mSpec.perTask().milliCpu() * (mFiguredAt - mOrderedAt) / 1_000.0;
-        double share = asked > 0 ? Math.min(1, mUsedCoreMillis / asked) : 1;
+        double share = mAskedCoreMillis > 0 ? Math.min(1, mUsedCoreMillis / mAskedCoreMillis) : 1;
         return (now - mOrderedAt) * share;
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/LearnedRunTimeTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/LearnedRunTimeTest.java
@@ -20,7 +20,11 @@
     private final OwnerWorld mWorld = new OwnerWorld();
 
     private void progress(OwnerWorld.Order order, int percent) {
-        RunningTask row = new RunningTask(order.mTask(), order.mRun(), "", percent, USED_CPU);
+        progress(order, percent, USED_CPU);
+    }
+
+    private void progress(OwnerWorld.Order order, int percent, long figure) {
+        RunningTask row = new RunningTask(order.mTask(), order.mRun(), "", percent, figure);
         mWorld.mOwner.progress(order.mVm(), OwnerWorld.worker("a", 1, 0, false).id(), List.of(row));
     }
 
@@ -52,4 +56,22 @@
         assertThat(objectiveAfterEarlierJobs(SECONDS * USED_CPU))
                 .isIn(Range.closed(2_800L, 3_200L));
     }
+
+    /** Guards against a short run that seems to have got nothing, as it has no figure yet. */
+    @Test
+    void runWithoutAFigureCountsWithItsWholeTime() {
+        mWorld.join("a", 100_000);
+        for (int i = 0; i < EARLIER_JOBS; i++) {
+            mWorld.submit("j" + i, OwnerWorld.step(1, USED_CPU, FILLER));
+            mWorld.store();
+            mWorld.started(mWorld.last());
+            mWorld.pass(Duration.ofMillis(300), "a");
+            progress(mWorld.last(), 0, 0);
+            mWorld.pass(Duration.ofMillis(100), "a");
+            mWorld.end(mWorld.last(), EndKind.DONE, "");
+        }
+        long objective =
+                (long) mWorld.logged("job.created").getLast().mFields().get("objective_ms");
+        assertThat(objective).isIn(Range.closed(1_800L, 2_000L));
+    }
 }
