Move tasks between VMs in one place, and compute a filler's profile once

FillerMover and ServingConsolidator each kept room on the new VM, counted the move and stopped the attempt; AttemptTracker.move does so for both. A report of a VM computed the profile of each filler whose rank had changed twice. Behaviour stays as it is.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AttemptTracker.java
@@ -22,6 +22,9 @@
 
     private static final int RETRY_PAUSE_DOUBLINGS = 4;
 
+    /** How long a VM keeps room for a task that moves there; a stop and its report take less. */
+    private static final long MOVE_MILLIS = 2_000;
+
     /** Pause of a VM that refused a start for want of room or because it is unhealthy. */
     private static final long REFUSAL_PAUSE_MILLIS = 250;
 
@@ -125,6 +128,13 @@
         mState.mOutput.stop(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun);
     }
 
+    /** Stops an attempt so that its task runs on another VM, which keeps room for it. */
+    void move(Attempt attempt, Vm target, String reason) {
+        target.claim(attempt.mTask, mState.now() + MOVE_MILLIS);
+        attempt.mTask.mMoves++;
+        stop(attempt, reason);
+    }
+
     /** Takes note of an end; it is acknowledged once the change that it causes is stored. */
     void ended(Vm vm, EndedTask end) {
         if (end.number() <= vm.mLastEnd) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
@@ -22,9 +22,6 @@
 
     private static final int MAX_MOVES = 4;
 
-    /** How long the room on the new VM is kept; a stop and its report take less. */
-    private static final long CLAIM_MILLIS = 2_000;
-
     private final OwnerState mState;
     private final AttemptTracker mAttempts;
     private Map<Job, List<Attempt>> mStarved = Map.of();
@@ -59,9 +56,7 @@
                 VmSelector.select(
                         attempt.mTask, others, FillerPatience.FULL_PACE, mState.mPressure);
         if (target.isPresent()) {
-            target.get().claim(attempt.mTask, mState.now() + CLAIM_MILLIS);
-            attempt.mTask.mMoves++;
-            mAttempts.stop(attempt, "starved of processor time");
+            mAttempts.move(attempt, target.get(), "starved of processor time");
         }
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
@@ -29,9 +29,6 @@
     /** Processor time that fillers lack, as a share of the VM, from which emptying it pays. */
     private static final double LEAST_DEMAND_SHARE = 0.5;
 
-    /** How long room on the new VM is kept for a task. */
-    private static final long CLAIM_MILLIS = 2_000;
-
     private static final int MAX_MOVES = 3;
     private static final int AT_WORK = 100;
 
@@ -138,9 +135,7 @@
         for (Attempt attempt : serving(mVm)) {
             List<Vm> targets = targets(attempt, vms);
             if (movable(attempt) && !targets.isEmpty()) {
-                targets.getFirst().claim(attempt.mTask, mState.now() + CLAIM_MILLIS);
-                attempt.mTask.mMoves++;
-                mAttempts.stop(attempt, "moved to other serving tasks");
+                mAttempts.move(attempt, targets.getFirst(), "moved to other serving tasks");
             }
         }
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -305,18 +305,26 @@
     private void describe(Attempt attempt) {
         var spec = attempt.mTask.mStep.mSpec;
         if (spec.traits().filler() || spec.serving()) {
-            RunProfile profile = mState.profile(attempt);
-            attempt.mRank = profile.rank();
-            mState.mOutput.describe(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun, profile);
+            describe(attempt, mState.profile(attempt));
         }
     }
 
+    private void describe(Attempt attempt, RunProfile profile) {
+        attempt.mRank = profile.rank();
+        mState.mOutput.describe(attempt.mVm.mAgent, attempt.mTask.mName, attempt.mRun, profile);
+    }
+
     /** Tells the agent of a VM which fillers have changed their rank by a good part. */
     private void describeRanks(Vm vm) {
-        vm.mAttempts.values().stream()
-                .filter(attempt -> attempt.mTask.mStep.mSpec.traits().filler())
-                .filter(attempt -> differs(mState.profile(attempt).rank(), attempt.mRank))
-                .forEach(this::describe);
+        for (Attempt attempt : vm.mAttempts.values()) {
+            if (!attempt.mTask.mStep.mSpec.traits().filler()) {
+                continue;
+            }
+            RunProfile profile = mState.profile(attempt);
+            if (differs(profile.rank(), attempt.mRank)) {
+                describe(attempt, profile);
+            }
+        }
     }
 
     private static boolean differs(double rank, double known) {
