Tell the story of a request from the logs: knapweedbank log explain

An on-call engineer had to search the logs of all processes for a request's identifier, sort the lines by hand and look for losses of the store, changes of the owner and lost VMs beside them. The command does so from files or standard input and names the causes it finds: runs that failed, were lost or stopped, and why; the last refusal; the time over the objective.

--- a/tools/src/main/java/org/knapweedbank/tools/Commands.java
+++ b/tools/src/main/java/org/knapweedbank/tools/Commands.java
@@ -21,6 +21,7 @@
                     new JobsShowCommand(),
                     new JobsCancelCommand(),
                     new ExplainCommand(),
+                    new LogExplainCommand(),
                     new AuditCommand());
 
     private Commands() {}
