--- a/faults/src/test/java/org/knapweedbank/faults/task/SimEntry.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/SimEntry.java
@@ -182,10 +182,10 @@
     private void readConfiguration() {
         long asked = mClock.monotonicNanos();
         call(
-                mStore.get(TaskWorld.HEAD),
+                mStore.get(SiteOperator.HEAD),
                 result -> {
                     if (result instanceof StoreResult.Succeeded<KeyRange>(KeyRange range)) {
-                        range.first().ifPresent(e -> configure(TaskWorld.decode(e.value())));
+                        range.first().ifPresent(e -> configure(SiteOperator.decode(e.value())));
                         mConfirmedNanos = Math.max(mConfirmedNanos, asked);
                         if (mOwned != null) {
                             mOwned.controller().confirmView(mConfirmedNanos);
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskWorld.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskWorld.java
@@ -1,7 +1,6 @@
 package org.knapweedbank.faults.task;
 
 import io.smallrye.mutiny.Uni;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.HashSet;
@@ -10,18 +9,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.TreeSet;
 import java.util.stream.Collectors;
-import org.knapweedbank.config.DataCentreSettings;
-import org.knapweedbank.config.ServiceSettings;
-import org.knapweedbank.config.SiteConfiguration;
-import org.knapweedbank.config.TeamSettings;
 import org.knapweedbank.control.JobSummary;
 import org.knapweedbank.control.JournalRecord;
 import org.knapweedbank.faults.CellOutcome;
 import org.knapweedbank.faults.Fault;
 import org.knapweedbank.faults.Simulation;
-import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.JobKind;
 import org.knapweedbank.model.JobSpec;
@@ -31,13 +24,6 @@
 import org.knapweedbank.standin.InMemoryStore;
 import org.knapweedbank.standin.StoreCallKind;
 import org.knapweedbank.standin.StoreClient;
-import org.knapweedbank.store.Compare;
-import org.knapweedbank.store.KeyEntry;
-import org.knapweedbank.store.KeyRange;
-import org.knapweedbank.store.Operation;
-import org.knapweedbank.store.StoreResult;
-import org.knapweedbank.store.Transaction;
-import org.knapweedbank.store.TransactionResult;
 import org.knapweedbank.time.Clock;
 import org.knapweedbank.wire.CheckpointTask;
 import org.knapweedbank.wire.HeartbeatAck;
@@ -51,7 +37,6 @@
 
 /** One cell of the task domain: two entries, three VMs in two data centres, a store, a fault. */
 final class TaskWorld {
-    static final String HEAD = "/kwb/c/config/head";
     static final Resources VM = new Resources(2_000, 2_048, 0);
     private static final Resources TASK = new Resources(1_000, 1_024, 0);
     private static final JobId BATCH = new JobId("batch");
@@ -71,14 +56,13 @@
     private final TaskMutant mMutant;
     private final Simulation mSimulation;
     private final InMemoryStore mStore;
-    private final StoreClient mOperator;
+    private final SiteOperator mOperator;
     private final Map<String, SimEntry> mEntries = new LinkedHashMap<>();
     private final Map<String, StoreClient> mClients = new LinkedHashMap<>();
     private final Map<String, SimAgent> mAgents = new LinkedHashMap<>();
     private final Map<String, SimWorker> mWorkers = new LinkedHashMap<>();
     private final Map<String, Clock> mClocks = new LinkedHashMap<>();
     private final Set<String> mCuts = new HashSet<>();
-    private final Map<String, Long> mOutSince = new LinkedHashMap<>();
     private final TaskRecord mRecord;
     private Fault mMessageFault = Fault.NONE;
     private String mMessageVm = "";
@@ -96,7 +80,7 @@
                 faults.contains(Fault.NETWORK_CUT) || faults.contains(Fault.NETWORK_CUT_ONE_WAY);
         mRecord = new TaskRecord(mSimulation, cut);
         mStore = new InMemoryStore(mSimulation.clock(1, 0));
-        mOperator = mStore.client();
+        mOperator = new SiteOperator(mSimulation, mStore.client());
         mSimulation.after(STORE_TICK, this::tickStore);
         boolean drift = faults.contains(Fault.CLOCK_DRIFT);
         boolean fastOwner = mSimulation.random().nextBoolean();
@@ -105,7 +89,7 @@
             mClients.put(name, mStore.client());
         }
         VMS.keySet().forEach(vm -> mClocks.put(vm, clock(drift, !fastOwner)));
-        mutate(removed -> removed);
+        mOperator.begin();
         startEntry("entry1", Duration.ZERO);
         startEntry("entry2", Duration.ofSeconds(3));
         for (String vm : VMS.keySet()) {
@@ -158,92 +142,18 @@
         return task.job().equals(SERVICE);
     }
 
-    // Configuration
-
-    static SiteConfiguration decode(byte[] value) {
-        String[] parts = new String(value, StandardCharsets.UTF_8).split(";", -1);
-        Set<String> removed = Set.of(parts[1].isEmpty() ? new String[0] : parts[1].split(","));
-        return new SiteConfiguration(
-                Long.parseLong(parts[0]),
-                "test",
-                1,
-                List.of("a", "b").stream()
-                        .map(
-                                name ->
-                                        new DataCentreSettings(
-                                                new DataCentreId(name),
-                                                "region",
-                                                removed.contains(name)))
-                        .toList(),
-                List.of(new ServiceSettings("web", 50, 1_000, 100, Set.of("GET"), false)),
-                List.of(new TeamSettings("team", new Resources(64_000, 65_536, 8), 1, 0)),
-                List.of());
-    }
-
-    private Optional<KeyEntry> head() {
-        StoreResult<KeyRange> read = mOperator.get(HEAD).await().indefinitely();
-        return ((StoreResult.Succeeded<KeyRange>) read).value().first();
-    }
-
-    /** Changes the removed data centres by compare-and-swap, without a way to lose the race. */
-    private void mutate(java.util.function.UnaryOperator<Set<String>> change) {
-        mutate(head(), change);
-    }
-
-    private boolean mutate(
-            Optional<KeyEntry> seen, java.util.function.UnaryOperator<Set<String>> change) {
-        Set<String> removed = new TreeSet<>();
-        long generation = 1;
-        if (seen.isPresent()) {
-            SiteConfiguration present = decode(seen.get().value());
-            present.removed().forEach(dataCentre -> removed.add(dataCentre.value()));
-            generation = present.generation() + 1;
-        }
-        Set<String> changed = new TreeSet<>(change.apply(removed));
-        String value = generation + ";" + String.join(",", changed);
-        Compare compare =
-                seen.<Compare>map(entry -> new Compare.ModifiedAt(HEAD, entry.modRevision()))
-                        .orElse(new Compare.Absent(HEAD));
-        Transaction write =
-                Transaction.when(
-                        List.of(compare),
-                        List.of(
-                                new Operation.Put(
-                                        HEAD, value.getBytes(StandardCharsets.UTF_8), 0)));
-        StoreResult<TransactionResult> result = mOperator.transact(write).await().indefinitely();
-        boolean done = ((StoreResult.Succeeded<TransactionResult>) result).value().compared();
-        if (done) {
-            mSimulation.trace("operator", "configuration " + value);
-            changed.forEach(name -> mOutSince.putIfAbsent(name, mSimulation.now()));
-            mOutSince.keySet().retainAll(changed);
-        }
-        return done;
-    }
-
     private void takeOut(String dataCentre) {
-        mutate(removed -> plus(removed, dataCentre));
+        mOperator.takeOut(dataCentre);
         quietAfter(Duration.ofSeconds(30));
         step(TaskStep.DATA_CENTRE_OUT, vmIn(dataCentre));
         mSimulation.after(
                 Duration.ofSeconds(30),
                 () -> {
-                    mutate(removed -> minus(removed, dataCentre));
+                    mOperator.bringBack(dataCentre);
                     step(TaskStep.DATA_CENTRE_IN, vmIn(dataCentre));
                 });
     }
 
-    private static Set<String> plus(Set<String> set, String name) {
-        Set<String> result = new TreeSet<>(set);
-        result.add(name);
-        return result;
-    }
-
-    private static Set<String> minus(Set<String> set, String name) {
-        Set<String> result = new TreeSet<>(set);
-        result.remove(name);
-        return result;
-    }
-
     private static String vmIn(String dataCentre) {
         return dataCentre.equals("a") ? "vm1" : "vm2";
     }
@@ -264,8 +174,8 @@
     void started(Execution execution, Resources used, Resources capacity) {
         mSimulation.trace(execution.mVm, execution + " from '" + execution.mFromCheckpoint + "'");
         mRecord.started(execution, used, capacity);
-        Long out = mOutSince.get(VMS.get(execution.mVm));
-        if (out != null && mSimulation.now() - out > Duration.ofSeconds(3).toNanos()) {
+        Duration out = mOperator.outFor(VMS.get(execution.mVm));
+        if (out.compareTo(Duration.ofSeconds(3)) > 0) {
             mSimulation.violate(4, execution + " starts after its data centre was taken out");
         }
         if (isService(execution.mTask)) {
@@ -485,7 +395,10 @@
                 List<String> all = List.of(">entry1", "<entry1", ">entry2", "<entry2");
                 cut(outage, vm, atOwner ? both : all);
             }
-            case OPERATORS_RACE -> race();
+            case OPERATORS_RACE -> {
+                mOperator.race();
+                quietAfter(Duration.ofSeconds(10));
+            }
             case VM_GONE -> {
                 mWorkers.get(vm).vanish();
                 mRecord.gone(vm);
@@ -516,18 +429,6 @@
         mSimulation.after(outage, () -> mCuts.removeAll(cuts));
     }
 
-    /** Two operators change the same generation; one of them has to lose. */
-    private void race() {
-        Optional<KeyEntry> seen = head();
-        boolean first = mutate(seen, removed -> plus(removed, "a"));
-        boolean second = mutate(seen, removed -> plus(removed, "b"));
-        if (!first || second) {
-            mSimulation.violate(10, "both or neither of two racing changes took effect");
-        }
-        quietAfter(Duration.ofSeconds(10));
-        mSimulation.after(Duration.ofSeconds(10), () -> mutate(removed -> minus(removed, "a")));
-    }
-
     private void kill(String name) {
         Duration restart = Duration.ofSeconds(pick(1, 10, 40));
         quietAfter(restart);
