Store the silence of VMs only from the third second of a term on

Agents usually report within half a second, so nothing is stored before the third second. The wait still adds up over terms of more than three seconds. vmThatIsHeardFromSoonIsAnsweredAtOnce failed before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -35,6 +35,12 @@
     /** Time after which the growing silence of a VM is stored again. */
     private static final long SILENCE_STEP_MILLIS = 1_000;
 
+    /**
+     * Silence that is not stored. A VM that is heard from within this time, as after most
+     * takeovers, can be answered without a write.
+     */
+    private static final long UNSTORED_SILENCE_MILLIS = 3_000;
+
     /** VMs of earlier owners that have not yet told this owner what they run. */
     private final Map<DaemonId, ListedVm> mUnresolved;
 
@@ -161,7 +167,8 @@
 
     /** Has the silence of VMs stored, so that a later owner need not wait for them anew. */
     private void storeSilence() {
-        if (mState.now() - mSilenceStoredAt >= SILENCE_STEP_MILLIS) {
+        boolean young = mState.now() - mState.mTakenOverAt < UNSTORED_SILENCE_MILLIS;
+        if (!young && mState.now() - mSilenceStoredAt >= SILENCE_STEP_MILLIS) {
             mSilenceStoredAt = mState.now();
             mUnresolved.forEach((agent, vm) -> mList.silent(agent, silence(vm)));
         }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -107,6 +107,23 @@
         assertThat(third.mStarts).isEmpty();
     }
 
+    /** Guards against leases that end while a VM's return waits for a slow store. */
+    @Test
+    void vmThatIsHeardFromSoonIsAnsweredAtOnce() throws IOException {
+        OwnerWorld.Order order = runOne();
+        OwnerWorld next = mFormer.successor();
+        next.join("other", 8_000);
+        next.pass(Duration.ofSeconds(2), "other");
+        next.store();
+        next.report(
+                "vm",
+                OwnerWorld.worker("vm", 1, 8_000, false),
+                List.of(row(order)),
+                List.of(),
+                false);
+        assertThat(next.mOwner.answers(new DaemonId("vm"))).isTrue();
+    }
+
     /** Guards against new jobs that wait for the VMs of the former owner. */
     @Test
     void newJobDoesNotWaitForUnreportedVms() throws IOException {
