--- /dev/null
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/PhaseLatency.java
@@ -0,0 +1,42 @@
+package org.knapweedbank.bench.quickstart;
+
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+
+/** Latencies of one phase, through the entries and straight to the upstreams. */
+final class PhaseLatency {
+    private static final double MICROS_PER_MILLI = 1_000;
+
+    private final Histogram mThroughEntries = new ConcurrentHistogram(3);
+    private final Histogram mDirect = new ConcurrentHistogram(3);
+
+    /**
+     * Percentiles in milliseconds.
+     *
+     * @param p50 median through the entries
+     * @param p99 99th percentile through the entries
+     * @param directP50 median of the same requests sent straight to the upstreams
+     * @param directP99 99th percentile of these
+     */
+    record Summary(double p50, double p99, double directP50, double directP99) {}
+
+    void recordThroughEntries(long micros) {
+        mThroughEntries.recordValue(micros);
+    }
+
+    void recordDirect(long micros) {
+        mDirect.recordValue(micros);
+    }
+
+    Summary summary() {
+        return new Summary(
+                millis(mThroughEntries, 50),
+                millis(mThroughEntries, 99),
+                millis(mDirect, 50),
+                millis(mDirect, 99));
+    }
+
+    private static double millis(Histogram histogram, double percentile) {
+        return histogram.getValueAtPercentile(percentile) / MICROS_PER_MILLI;
+    }
+}
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/Quickstart.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/Quickstart.java
@@ -25,6 +25,8 @@
     private static final Duration STOP_LIMIT = Duration.ofSeconds(15);
     private static final long REMOVAL_LIMIT_MILLIS = 3_000;
     private static final int STREAMS = 6;
+    private static final long WARM_UP_MILLIS = 3_000;
+    private static final long CALM_MILLIS = 5_000;
 
     /** Reasons of refusals that are shown. */
     private static final int REASONS = 5;
@@ -93,7 +95,10 @@
         startAll();
         configure();
         startLoad();
-        pause(3_000);
+        pause(WARM_UP_MILLIS);
+        mRequests.begin(LoadPhase.CALM);
+        pause(CALM_MILLIS);
+        mRequests.begin(LoadPhase.CHANGES);
         removeAndReturnDataCentre();
         killAgent();
         finishJobs();
@@ -141,8 +146,8 @@
         mStreams = new StreamLoad(mVertx, mRequests);
         mStreams.start(STREAMS);
         mJobs = new JobLoad(mDeployment, mClient);
-        mJobs.submit(12, 2_000, SMALL);
-        progress("load running: 200 requests/s, " + STREAMS + " streams, 12 batch jobs");
+        mJobs.submit(24, 2_000, SMALL);
+        progress("load running: 200 requests/s, " + STREAMS + " streams, 24 batch jobs");
     }
 
     private void awaitHealthy(int count) throws IOException, InterruptedException {
@@ -156,11 +161,11 @@
     }
 
     private void removeAndReturnDataCentre() throws IOException, InterruptedException {
-        mJobs.submit(6, 3_000, SMALL);
+        mJobs.submit(10, 3_000, SMALL);
         runClient("dc", "out", "south");
         mOutMillis = System.currentTimeMillis();
         progress("data centre south is out of service");
-        mJobs.submit(6, 1_000, SMALL);
+        mJobs.submit(10, 1_000, SMALL);
         pause(4_500);
         mInMillis = System.currentTimeMillis();
         runClient("dc", "in", "south");
@@ -185,7 +190,7 @@
 
     /** A planned stop under load must not cut a request. */
     private void stopOneEntryAndAgent() throws IOException, InterruptedException {
-        mJobs.submit(4, 1_500, SMALL);
+        mJobs.submit(8, 1_500, SMALL);
         long begin = System.currentTimeMillis();
         List<String> killed = mDeployment.stop(List.of("agent-north-2"), STOP_LIMIT);
         killed.addAll(mDeployment.stop(List.of("entry-south"), STOP_LIMIT));
@@ -316,6 +321,7 @@
                 millis(mRequests.throughEntries().getValueAtPercentile(99)),
                 millis(mRequests.direct().getValueAtPercentile(50)),
                 millis(mRequests.direct().getValueAtPercentile(99)),
+                mRequests.latencies(),
                 mTasks.starts(),
                 mTasks.checkpoints(),
                 mStreams.events(),
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/QuickstartReport.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/QuickstartReport.java
@@ -1,5 +1,7 @@
 package org.knapweedbank.bench.quickstart;
 
+import java.util.Map;
+
 /**
  * Result of a quickstart run. The invariants are counted from what the stand-ins executed.
  *
@@ -22,6 +24,7 @@
  * @param p99Ms 99th percentile of it
  * @param directP50Ms median latency of the same requests sent straight to the upstreams
  * @param directP99Ms 99th percentile of it
+ * @param latencies the same by phase of the load
  * @param taskStarts attempts started by the workers
  * @param checkpoints attempts that ended with a checkpoint
  * @param streamEvents events received on all streams
@@ -47,6 +50,7 @@
         double p99Ms,
         double directP50Ms,
         double directP99Ms,
+        Map<LoadPhase, PhaseLatency.Summary> latencies,
         long taskStarts,
         long checkpoints,
         long streamEvents,
--- a/bench/src/main/java/org/knapweedbank/bench/quickstart/RequestLoad.java
+++ b/bench/src/main/java/org/knapweedbank/bench/quickstart/RequestLoad.java
@@ -11,7 +11,9 @@
 import io.vertx.core.http.HttpClientResponse;
 import io.vertx.core.http.HttpMethod;
 import java.io.IOException;
+import java.util.EnumMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -41,7 +43,9 @@
     private final Queue<CallOutcome> mOutcomes = new ConcurrentLinkedQueue<>();
     private final Histogram mThroughEntries = new ConcurrentHistogram(3);
     private final Histogram mDirect = new ConcurrentHistogram(3);
+    private final Map<LoadPhase, PhaseLatency> mLatencies = new EnumMap<>(LoadPhase.class);
     private final AtomicInteger mOpen = new AtomicInteger();
+    private volatile LoadPhase mPhase = LoadPhase.WARM_UP;
     private int mCount;
     private long mTimer;
 
@@ -54,6 +58,9 @@
                                 .setTcpNoDelay(true));
         mEntries = new EntryPool(vertx, mClient, entryPorts);
         mUpstreams = List.copyOf(upstreamPorts);
+        for (LoadPhase phase : LoadPhase.values()) {
+            mLatencies.put(phase, new PhaseLatency());
+        }
         mRandom = RandomSource.SPLIT_MIX_64.create(seed);
     }
 
@@ -81,6 +88,17 @@
         return List.copyOf(mOutcomes);
     }
 
+    /** Begins a phase: latencies of requests that start from now on count for it. */
+    void begin(LoadPhase phase) {
+        mPhase = phase;
+    }
+
+    Map<LoadPhase, PhaseLatency.Summary> latencies() {
+        Map<LoadPhase, PhaseLatency.Summary> summaries = new EnumMap<>(LoadPhase.class);
+        mLatencies.forEach((phase, latency) -> summaries.put(phase, latency.summary()));
+        return summaries;
+    }
+
     Histogram throughEntries() {
         return mThroughEntries;
     }
@@ -113,10 +131,16 @@
     private void sendDirect(String token) {
         int port = mUpstreams.get(mRandom.nextInt(mUpstreams.size()));
         long start = System.nanoTime();
+        PhaseLatency latency = mLatencies.get(mPhase);
         mClient.request(HttpMethod.GET, port, "127.0.0.1", "/work?token=" + token)
                 .compose(HttpClientRequest::send)
                 .compose(HttpClientResponse::body)
-                .onSuccess(body -> mDirect.recordValue((System.nanoTime() - start) / 1_000));
+                .onSuccess(
+                        body -> {
+                            long micros = (System.nanoTime() - start) / 1_000;
+                            mDirect.recordValue(micros);
+                            latency.recordDirect(micros);
+                        });
     }
 
     /** A repeat goes through another entry where there is one, at the same time as the first. */
@@ -144,6 +168,7 @@
             Histogram histogram) {
         long startMillis = System.currentTimeMillis();
         long start = System.nanoTime();
+        PhaseLatency latency = mLatencies.get(mPhase);
         mOpen.incrementAndGet();
         mClient.request(method, port, "127.0.0.1", path)
                 .compose(request -> send(request, key, token))
@@ -156,7 +181,9 @@
                             mOpen.decrementAndGet();
                             boolean answered = verdict.kind() == CallOutcome.Kind.ANSWERED;
                             if (histogram != null && answered) {
-                                histogram.recordValue((System.nanoTime() - start) / 1_000);
+                                long micros = (System.nanoTime() - start) / 1_000;
+                                histogram.recordValue(micros);
+                                latency.recordThroughEntries(micros);
                             }
                             mOutcomes.add(
                                     new CallOutcome(
