--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -27,11 +27,6 @@
     /** Change of a filler's rank, as a share of it, from which its agent is told. */
     private static final double RANK_CHANGE = 0.1;
 
-    private final OwnerState mState;
-    private final AttemptTracker mAttempts;
-    private final VmList mList;
-    private final HangDetector mHangs;
-
     /** Time after which the growing silence of a VM is stored again. */
     private static final long SILENCE_STEP_MILLIS = 1_000;
 
@@ -41,6 +36,11 @@
      */
     private static final long UNSTORED_SILENCE_MILLIS = 3_000;
 
+    private final OwnerState mState;
+    private final AttemptTracker mAttempts;
+    private final VmList mList;
+    private final HangDetector mHangs;
+
     /** VMs of earlier owners that have not yet told this owner what they run. */
     private final Map<DaemonId, ListedVm> mUnresolved;
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -25,8 +25,10 @@
         return mFormer.last();
     }
 
-    private static RunningTask row(OwnerWorld.Order order) {
-        return new RunningTask(order.mTask(), order.mRun(), "", 10, 1_000);
+    /** A VM tells a new owner that it runs what the former one ordered. */
+    private static void reportRun(OwnerWorld owner, String vm, OwnerWorld.Order order) {
+        RunningTask row = new RunningTask(order.mTask(), order.mRun(), "", 10, 1_000);
+        owner.report(vm, OwnerWorld.worker(vm, 1, 8_000, false), List.of(row), List.of(), false);
     }
 
     /** Guards against a second run of a task that runs where the new owner has not looked yet. */
@@ -36,12 +38,7 @@
         OwnerWorld next = mFormer.successor();
         next.join("other", 8_000);
         assertThat(next.mStarts).isEmpty();
-        next.report(
-                "vm",
-                OwnerWorld.worker("vm", 1, 8_000, false),
-                List.of(row(order)),
-                List.of(),
-                false);
+        reportRun(next, "vm", order);
         next.store();
         assertThat(next.mStarts).isEmpty();
         EndedTask end = new EndedTask(1, order.mTask(), order.mRun(), EndKind.DONE, "");
@@ -91,12 +88,7 @@
         second.join("other", 8_000);
         second.pass(Duration.ofSeconds(5), "other");
         second.store();
-        second.report(
-                "vm",
-                OwnerWorld.worker("vm", 1, 8_000, false),
-                List.of(row(order)),
-                List.of(),
-                false);
+        reportRun(second, "vm", order);
         assertThat(second.mOwner.answers(new DaemonId("vm"))).isFalse();
         second.store();
         assertThat(second.mOwner.answers(new DaemonId("vm"))).isTrue();
@@ -115,12 +107,7 @@
         next.join("other", 8_000);
         next.pass(Duration.ofSeconds(2), "other");
         next.store();
-        next.report(
-                "vm",
-                OwnerWorld.worker("vm", 1, 8_000, false),
-                List.of(row(order)),
-                List.of(),
-                false);
+        reportRun(next, "vm", order);
         assertThat(next.mOwner.answers(new DaemonId("vm"))).isTrue();
     }
 
@@ -152,12 +139,7 @@
         mFormer.mOwner.cancel(order.mTask().job());
         mFormer.store();
         OwnerWorld next = mFormer.successor();
-        next.report(
-                "vm",
-                OwnerWorld.worker("vm", 1, 8_000, false),
-                List.of(row(order)),
-                List.of(),
-                false);
+        reportRun(next, "vm", order);
         assertThat(next.mStops).hasSize(1);
     }
 
@@ -210,18 +192,8 @@
     void secondRunOfATaskIsStopped() throws IOException {
         OwnerWorld.Order order = runOne();
         OwnerWorld next = mFormer.successor();
-        next.report(
-                "vm",
-                OwnerWorld.worker("vm", 1, 8_000, false),
-                List.of(row(order)),
-                List.of(),
-                false);
-        next.report(
-                "other",
-                OwnerWorld.worker("other", 1, 8_000, false),
-                List.of(row(order)),
-                List.of(),
-                false);
+        reportRun(next, "vm", order);
+        reportRun(next, "other", order);
         assertThat(next.mStops).hasSize(1);
         assertThat(next.mStops.getFirst().mVm()).isEqualTo(new DaemonId("other"));
     }
