Survive malformed membership entries and failing listeners

Cause: addresses of the store reached Vert.x unchecked, which throws for a port out of range; one malformed term, owner or entry record threw in the election's listener; and PrefixWatch called its listener before it asked for the next events, so an exception ended the watch for the life of the process. A malformed owner record also counted as an owner, so that nobody claimed the ownership. A listener that failed on a frame left the parser of its link in an undefined state.

Malformed entries are ignored, a malformed owner record or one of another term counts as missing and is overwritten on condition of its revision, and a malformed term is replaced by the revision of its key, which no earlier term exceeds. PrefixWatch and SocketLink log a failure of their listener; the watch goes on, the link is closed and its successor starts with a full report.

--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -74,6 +74,7 @@
         new PrefixWatch(
                         mStore,
                         mTimers,
+                        mLog,
                         StoreKeys.MEMBERSHIP_PREFIX,
                         MAX_WATCH_WAIT,
                         RETRY_DELAY,
@@ -157,11 +158,8 @@
     /** Writes this entry's address and processor share under its lease, with retries. */
     private void register() {
         StoreChange change = new StoreChange();
-        String value = mSettings.address() + "\n" + mSettings.cpuShare();
-        change.put(
-                StoreKeys.entry(mSettings.entry()),
-                value.getBytes(StandardCharsets.UTF_8),
-                mLeaseId);
+        EntryRecord record = new EntryRecord(mSettings.address(), mSettings.cpuShare());
+        change.put(StoreKeys.entry(mSettings.entry()), record.encode(), mLeaseId);
         long leaseId = mLeaseId;
         mStore.write(
                 change,
@@ -214,11 +212,11 @@
     }
 
     /**
-     * Schedules a claim of the ownership if the owner's key is missing: after this entry's rank
-     * delay, or at once if this entry is the owner and its key was removed.
+     * Schedules a claim of the ownership if the owner's key is missing or malformed: after this
+     * entry's rank delay, or at once if this entry is the owner and its key was removed.
      */
     private void scheduleClaim() {
-        boolean ownerMissing = mViewLoaded && mView.ownerRevision() == 0;
+        boolean ownerMissing = mViewLoaded && mView.owner().isEmpty();
         boolean viewOutdated = mOwnTerm > mView.term();
         if (!ownerMissing || viewOutdated || mClaimPending || mResigned || mLeaseId == 0) {
             return;
@@ -230,23 +228,19 @@
 
     /** Returns the position of this entry by processor share, 0 for the largest. */
     private int rank() {
-        Comparator<Map.Entry<String, String>> byCpuShare =
+        Comparator<Map.Entry<String, EntryRecord>> byCpuShare =
                 Comparator.comparingDouble(
-                                (Map.Entry<String, String> entry) -> -cpuShare(entry.getValue()))
+                                (Map.Entry<String, EntryRecord> entry) ->
+                                        -entry.getValue().cpuShare())
                         .thenComparing(Map.Entry::getKey);
         List<String> rankedKeys =
-                mView.entryValues().entrySet().stream()
+                mView.entries().entrySet().stream()
                         .sorted(byCpuShare)
                         .map(Map.Entry::getKey)
                         .toList();
         return Math.max(0, rankedKeys.indexOf(StoreKeys.entry(mSettings.entry())));
     }
 
-    private static double cpuShare(String entryValue) {
-        String[] fields = entryValue.split("\n", -1);
-        return fields.length < 2 ? 0 : Double.parseDouble(fields[1]);
-    }
-
     /**
      * Claims the ownership from an owner that is alive but can't write, provided that the store
      * answers this entry. The owner therefore does not change during an outage of the whole store.
@@ -271,7 +265,7 @@
     }
 
     private void claimIfOwnerMissing() {
-        if (mView.ownerRevision() != 0) {
+        if (mView.owner().isPresent()) {
             mClaimPending = false;
         } else {
             claimOwnership();
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryDirectory.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryDirectory.java
@@ -37,8 +37,8 @@
     /** Returns the addresses in a view, the owner's first. */
     static List<String> addresses(MembershipView view) {
         String ownerAddress = view.owner().map(OwnerRecord::address).orElse("");
-        return view.entryValues().values().stream()
-                .map(value -> value.split("\n", -1)[0])
+        return view.entries().values().stream()
+                .map(EntryRecord::address)
                 .sorted(Comparator.comparing(address -> !address.equals(ownerAddress)))
                 .toList();
     }
--- a/node/src/main/java/org/knapweedbank/node/entry/MembershipView.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/MembershipView.java
@@ -8,6 +8,9 @@
 
 /** Decodes the membership keys of the store: the entries, the owner and the term. */
 final class MembershipView {
+    /** Highest usable term; run numbers are multiples of the term and must not overflow. */
+    private static final long MAX_TERM = 1L << 40;
+
     private final Map<String, StoreItem> mItems;
 
     /**
@@ -19,17 +22,14 @@
         mItems = items;
     }
 
-    /** Returns the owner; empty if there is none or its record is malformed. */
+    /**
+     * Returns the owner; empty if there is none, or if its record is malformed or not of the newest
+     * term. A claim writes both keys at once, so another term means that one of them was damaged.
+     */
     Optional<OwnerRecord> owner() {
-        StoreItem item = mItems.get(StoreKeys.OWNER);
-        if (item == null) {
-            return Optional.empty();
-        }
-        try {
-            return Optional.of(OwnerRecord.decode(item.value()));
-        } catch (IllegalArgumentException e) {
-            return Optional.empty();
-        }
+        return Optional.ofNullable(mItems.get(StoreKeys.OWNER))
+                .flatMap(item -> OwnerRecord.decode(item.value()))
+                .filter(record -> record.term() == term());
     }
 
     /** Returns the revision of the owner key, 0 if the key does not exist. */
@@ -42,19 +42,32 @@
         return revision(StoreKeys.TERM);
     }
 
-    /** Returns the newest term, 0 if there has been no owner. */
+    /**
+     * Returns the newest term, 0 if there has been no owner. If the stored term is malformed, the
+     * revision of its key takes its place: each term was written at a revision of its own, so the
+     * revision is not below any earlier term.
+     */
     long term() {
         StoreItem item = mItems.get(StoreKeys.TERM);
-        return item == null ? 0 : Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
+        if (item == null) {
+            return 0;
+        }
+        try {
+            long term = Long.parseLong(new String(item.value(), StandardCharsets.UTF_8));
+            return term >= 1 && term <= MAX_TERM ? term : item.revision();
+        } catch (NumberFormatException e) {
+            return item.revision();
+        }
     }
 
-    /** Returns the values of the entries' keys, by key. */
-    Map<String, String> entryValues() {
-        Map<String, String> entries = new HashMap<>();
+    /** Returns the well-formed records of the entries, by key. */
+    Map<String, EntryRecord> entries() {
+        Map<String, EntryRecord> entries = new HashMap<>();
         mItems.forEach(
                 (key, item) -> {
                     if (key.startsWith(StoreKeys.ENTRY_PREFIX)) {
-                        entries.put(key, new String(item.value(), StandardCharsets.UTF_8));
+                        EntryRecord.decode(item.value())
+                                .ifPresent(record -> entries.put(key, record));
                     }
                 });
         return entries;
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnerRecord.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnerRecord.java
@@ -1,6 +1,8 @@
 package org.knapweedbank.node.entry;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import org.knapweedbank.node.Address;
 
 /**
  * Value of the owner key in the store.
@@ -23,18 +25,21 @@
                 .getBytes(StandardCharsets.UTF_8);
     }
 
-    /**
-     * Decodes a record.
-     *
-     * @throws IllegalArgumentException if the value is malformed
-     */
-    static OwnerRecord decode(byte[] value) {
+    /** Decodes a record; empty if it is malformed. */
+    static Optional<OwnerRecord> decode(byte[] value) {
         String[] fields = new String(value, StandardCharsets.UTF_8).split("\n", -1);
-        if (fields.length != FIELD_COUNT) {
-            throw new IllegalArgumentException(
-                    "malformed owner record: " + fields.length + " fields");
+        if (fields.length != FIELD_COUNT || Address.parse(fields[2]).isEmpty()) {
+            return Optional.empty();
+        }
+        try {
+            return Optional.of(
+                    new OwnerRecord(
+                            fields[0],
+                            Long.parseLong(fields[1]),
+                            fields[2],
+                            Long.parseLong(fields[3])));
+        } catch (NumberFormatException e) {
+            return Optional.empty();
         }
-        return new OwnerRecord(
-                fields[0], Long.parseLong(fields[1]), fields[2], Long.parseLong(fields[3]));
     }
 }
--- a/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
+++ b/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
@@ -111,13 +111,27 @@
             return;
         }
         try {
-            mListener.received(NodeCodec.decode(body));
+            deliver(NodeCodec.decode(body));
         } catch (IOException e) {
             mLog.record("link.malformed", mRemoteAddress, "cause", e.getMessage());
             close("malformed message");
         }
     }
 
+    /**
+     * Passes a message to the listener. If that fails, the link is closed, because the next link
+     * starts with a full report, which restores a common state.
+     */
+    private void deliver(NodeMessage message) {
+        try {
+            mListener.received(message);
+        } catch (RuntimeException e) {
+            String type = message.getClass().getSimpleName();
+            mLog.record("link.listener_failed", mRemoteAddress, "message", type, "cause", e);
+            close("the listener failed on a message");
+        }
+    }
+
     private void checkLiveness() {
         long nowMillis = monotonicMillis();
         if (nowMillis - mReceivedAtMillis > MAX_SILENCE_MILLIS) {
--- a/node/src/main/java/org/knapweedbank/node/link/VertxLinkTransport.java
+++ b/node/src/main/java/org/knapweedbank/node/link/VertxLinkTransport.java
@@ -5,9 +5,11 @@
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.node.Address;
 
 /** Transport that opens and accepts links over TCP. */
 public final class VertxLinkTransport implements LinkTransport {
@@ -38,15 +40,12 @@
             String address,
             Function<Link, LinkListener> listenerFactory,
             Consumer<String> onFailure) {
-        int colon = address.lastIndexOf(':');
-        int port;
-        try {
-            port = Integer.parseInt(address.substring(colon + 1));
-        } catch (NumberFormatException e) {
+        Optional<Address> peer = Address.parse(address);
+        if (peer.isEmpty()) {
             onFailure.accept("address is not HOST:PORT: " + address);
             return;
         }
-        mClient.connect(port, address.substring(0, Math.max(0, colon)))
+        mClient.connect(peer.get().port(), peer.get().host())
                 .onSuccess(socket -> open(socket, listenerFactory))
                 .onFailure(e -> onFailure.accept(String.valueOf(e.getMessage())));
     }
--- a/node/src/main/java/org/knapweedbank/node/store/PrefixWatch.java
+++ b/node/src/main/java/org/knapweedbank/node/store/PrefixWatch.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.node.Timers;
 
 /**
@@ -12,6 +13,7 @@
 public final class PrefixWatch {
     private final CoordinationStore mStore;
     private final Timers mTimers;
+    private final DecisionLog mLog;
     private final String mPrefix;
     private final Duration mMaxWait;
     private final Duration mRetryDelay;
@@ -23,6 +25,7 @@
      *
      * @param store the store
      * @param timers timers of the process
+     * @param log receives failures of the listener
      * @param prefix prefix of the items
      * @param maxWait maximum time that a watch call waits for a change
      * @param retryDelay delay before the items are read again after the store gave no usable answer
@@ -31,12 +34,14 @@
     public PrefixWatch(
             CoordinationStore store,
             Timers timers,
+            DecisionLog log,
             String prefix,
             Duration maxWait,
             Duration retryDelay,
             Listener listener) {
         mStore = store;
         mTimers = timers;
+        mLog = log;
         mPrefix = prefix;
         mMaxWait = maxWait;
         mRetryDelay = retryDelay;
@@ -57,7 +62,7 @@
             case ReadOutcome.Items items -> {
                 mItems.clear();
                 items.items().forEach(item -> mItems.put(item.key(), item));
-                mListener.itemsRefreshed(Map.copyOf(mItems));
+                notifyListener();
                 watch(items.revision());
             }
             case ReadOutcome.Unavailable unavailable -> retryRead(unavailable.reason());
@@ -72,7 +77,7 @@
         switch (outcome) {
             case WatchOutcome.Events events -> {
                 events.events().forEach(this::apply);
-                mListener.itemsRefreshed(Map.copyOf(mItems));
+                notifyListener();
                 watch(events.revision());
             }
             case WatchOutcome.HistoryGone ignored -> read();
@@ -80,6 +85,15 @@
         }
     }
 
+    /** Passes the items to the listener. The watch continues if the listener fails on them. */
+    private void notifyListener() {
+        try {
+            mListener.itemsRefreshed(Map.copyOf(mItems));
+        } catch (RuntimeException e) {
+            mLog.record("watch.listener_failed", mPrefix, "cause", e);
+        }
+    }
+
     private void apply(StoreEvent event) {
         if (event.removed()) {
             mItems.remove(event.key());
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -1,15 +1,19 @@
 package org.knapweedbank.node.entry;
 
 import static com.google.common.truth.Truth.assertThat;
+import static java.nio.charset.StandardCharsets.UTF_8;
 
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.owner.OwnerSettings;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
 
 /** Tests the election of the owner among entries. */
@@ -199,4 +203,67 @@
         assertThat(mStore.items(StoreKeys.ENTRY_PREFIX)).isEmpty();
         assertThat(mStore.item(StoreKeys.OWNER)).isNull();
     }
+
+    /** Guards against a deployment without an owner because the owner's record is malformed. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "x",
+                "a\n1\n10.0.0.1:99999\n1",
+                "a\n1\n10.0.0.1:-1\n1",
+                "a\n1\n:7720\n1",
+                "a\n99999999999999999999\n10.0.0.1:7720\n1",
+                "a\n1\n10.0.0.1:7720\n99999999999999999999"
+            })
+    void malformedOwnerRecordIsReplaced(String record) {
+        put(StoreKeys.OWNER, record);
+        Candidate only = new Candidate("a", 1);
+        advanceSeconds(3);
+        assertThat(only.mTermsWon).hasSize(1);
+        assertThat(OwnerRecord.decode(mStore.item(StoreKeys.OWNER).value())).isPresent();
+    }
+
+    /**
+     * Guards against an entry that stops following the membership, and against a term that does not
+     * rise, because the stored term is not a usable number.
+     */
+    @ParameterizedTest
+    @ValueSource(strings = {"", "x", "-7", "99999999999999999999", "9223372036854775807"})
+    void malformedTermIsReplacedByAHigherOne(String term) {
+        Candidate first = new Candidate("a", 1);
+        advanceSeconds(3);
+        put(StoreKeys.TERM, term);
+        advanceSeconds(5);
+        assertThat(first.mTermsWon.getFirst()).isEqualTo(1);
+        assertThat(first.mTermsWon).hasSize(2);
+        assertThat(first.mTermsWon.getLast()).isGreaterThan(1);
+        assertThat(first.mTermsWon.getLast()).isLessThan(1L << 40);
+        assertThat(first.mConfirmedTerm).isEqualTo(first.mTermsWon.getLast());
+    }
+
+    /** Guards against one malformed entry that keeps the others from electing an owner. */
+    @ParameterizedTest
+    @ValueSource(
+            strings = {
+                "",
+                "10.0.0.9:99999\n9",
+                "10.0.0.9\n9",
+                "10.0.0.9:80\nmuch",
+                "10.0.0.9:80\nNaN",
+                "10.0.0.9:80\n1e999"
+            })
+    void malformedEntryIsIgnored(String value) {
+        put(StoreKeys.ENTRY_PREFIX + "odd", value);
+        Candidate only = new Candidate("a", 1);
+        advanceSeconds(3);
+        assertThat(only.mTermsWon).containsExactly(1L);
+        assertThat(only.mElection.addresses()).containsExactly("a:1");
+    }
+
+    private void put(String key, String value) {
+        StoreChange change = new StoreChange().put(key, value.getBytes(UTF_8), 0);
+        mStore.write(change, outcome -> {});
+        mTimers.advance(Duration.ofMillis(10));
+    }
 }
--- a/node/src/test/java/org/knapweedbank/node/store/PrefixWatchTest.java
+++ b/node/src/test/java/org/knapweedbank/node/store/PrefixWatchTest.java
@@ -23,9 +23,16 @@
     private final ScriptedStore mStore = new ScriptedStore();
     private final List<Set<String>> mSeenKeys = new ArrayList<>();
     private final List<String> mFailures = new ArrayList<>();
+    private final List<String> mLoggedEvents = new ArrayList<>();
+
+    /** Key for which the listener throws; empty if it never throws. */
+    private String mRejectedKey = "";
 
     @Override
     public void itemsRefreshed(Map<String, StoreItem> items) {
+        if (items.containsKey(mRejectedKey)) {
+            throw new IllegalArgumentException("unexpected item " + mRejectedKey);
+        }
         mSeenKeys.add(items.keySet());
     }
 
@@ -35,7 +42,15 @@
     }
 
     private void start() {
-        new PrefixWatch(mStore, mTimers, "p/", Duration.ofSeconds(1), RETRY, this).start();
+        new PrefixWatch(
+                        mStore,
+                        mTimers,
+                        (event, subject, fields) -> mLoggedEvents.add(event),
+                        "p/",
+                        Duration.ofSeconds(1),
+                        RETRY,
+                        this)
+                .start();
     }
 
     private static ReadOutcome items(long revision, String... keys) {
@@ -84,6 +99,20 @@
         assertThat(mSeenKeys.getLast()).containsExactly("p/c");
     }
 
+    /** Guards against a watch that ends for good because its listener failed on one item. */
+    @Test
+    void continuesAfterListenerFailsOnAnItem() {
+        mRejectedKey = "p/odd";
+        mStore.mReads.add(items(7, "p/a", "p/odd"));
+        mStore.mWatches.add(
+                new WatchOutcome.Events(List.of(new StoreEvent("p/b", new byte[0], 8)), 8));
+        mStore.mWatches.add(new WatchOutcome.Events(List.of(new StoreEvent("p/odd", null, 9)), 9));
+        start();
+        assertThat(mStore.mWatchRevisions).containsExactly(7L, 8L, 9L).inOrder();
+        assertThat(mSeenKeys).containsExactly(Set.of("p/a", "p/b"));
+        assertThat(mLoggedEvents).containsExactly("watch.listener_failed", "watch.listener_failed");
+    }
+
     /**
      * Store with scripted answers to reads and watches; a call beyond the script gets no answer.
      */
