Agent: ignore delayed and foreign status reports, keep runs of unreadable lists

Cause: an agent ignored the sequence number of status reports, so that a report that was overtaken by the one about draining ended the draining; it took a delayed report of a worker that had left for a new worker, and a delayed notice of an earlier incarnation for one of the running worker. One malformed row cost the whole list of runs and with it the renewal of all leases, and a failure while a reply was processed ended the renewals.

A malformed row is left out and marks the list as incomplete, from which no run is taken for ended and no state is reported. A failing reply is logged and the renewals go on.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -53,6 +53,13 @@
     private final FillerPacer mPacer = new FillerPacer();
     private final long mStartedAtMillis;
     private WorkerInfo mWorker;
+
+    /** Sequence number of the newest status report of the worker. */
+    private long mReportSequence;
+
+    /** Worker that has left last; null if none has. */
+    private WorkerId mLeftWorker;
+
     private Link mOwner;
     private long mTerm;
 
@@ -99,10 +106,19 @@
     /**
      * Handles a status report of the worker.
      *
-     * @param info properties that the worker has reported
+     * @param report the report
      */
-    public void workerReported(WorkerInfo info) {
+    public void workerReported(StatusReport report) {
+        WorkerInfo info = report.worker();
+        if (info.id().equals(mLeftWorker)) {
+            mLog.record("worker.outdated", info.id(), "reason", "the worker has left");
+            return;
+        }
         if (mWorker != null && mWorker.id().equals(info.id())) {
+            if (report.sequence() <= mReportSequence) {
+                return;
+            }
+            mReportSequence = report.sequence();
             boolean changed = !mWorker.equals(info);
             mWorker = info;
             if (changed) {
@@ -118,6 +134,7 @@
         mLog.record("worker.joined", info.id(), "service", info.service());
         forgetWorker();
         mWorker = info;
+        mReportSequence = report.sequence();
         restartPolling();
     }
 
@@ -125,10 +142,14 @@
      * Handles the worker's notice that it is shutting down, which ends all its runs.
      *
      * @param id identifier in the notice
+     * @param incarnation incarnation in the notice, empty if it names none
      */
-    public void workerLeft(String id) {
-        if (mWorker != null && mWorker.id().id().equals(id)) {
+    public void workerLeft(String id, OptionalLong incarnation) {
+        if (mWorker != null
+                && mWorker.id().id().equals(id)
+                && incarnation.orElse(mWorker.id().incarnation()) == mWorker.id().incarnation()) {
             mLog.record("worker.left", mWorker.id());
+            mLeftWorker = mWorker.id();
             sendAfterReport(new NodeMessage.WorkerLost(mWorker.id(), "the worker has left"));
             forgetWorker();
         }
@@ -223,7 +244,7 @@
             case LeaseRenewalReply.Renewed renewed -> {
                 if (renewed.incarnation() == worker.incarnation()
                         && mAuthority.updateWorkerClock(renewed.workerClockMillis())) {
-                    applyRunLists(renewed, term, sentAtMillis);
+                    applyRunListsSafely(renewed, term, sentAtMillis);
                 }
                 pollAfter(
                         pollId,
@@ -269,10 +290,23 @@
                 };
     }
 
+    /** Applies the worker's lists of runs; a failure must not end the renewals of the lease. */
+    private void applyRunListsSafely(
+            LeaseRenewalReply.Renewed renewed, long term, long sentAtMillis) {
+        try {
+            applyRunLists(renewed, term, sentAtMillis);
+        } catch (RuntimeException e) {
+            mLog.record("agent.reply_failed", mWorker.id(), "cause", e);
+        }
+    }
+
     /** Applies the worker's lists of runs, then reports them and adjusts the pace of fillers. */
     private void applyRunLists(LeaseRenewalReply.Renewed renewed, long term, long sentAtMillis) {
         long nowMillis = mClock.monotonicMillis();
-        mRuns.updateRunning(renewed.running(), sentAtMillis, nowMillis);
+        if (renewed.complete()) {
+            mRuns.removeAbsent(renewed.running(), sentAtMillis);
+        }
+        mRuns.updateRunning(renewed.running(), nowMillis);
         List<EndedRun> newEnds = mRuns.addEnds(renewed.ended());
         expireUnansweredStarts(renewed.workerClockMillis());
         if (mWorkerLost) {
@@ -280,7 +314,7 @@
             mStateReported = false;
         }
         if (!mStateReported) {
-            if (term == mTerm && mOwner != null) {
+            if (renewed.complete() && term == mTerm && mOwner != null) {
                 reportState();
             }
         } else if (!newEnds.isEmpty()) {
--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseRenewalReply.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseRenewalReply.java
@@ -13,9 +13,14 @@
      * @param incarnation start of the worker's process in Unix milliseconds
      * @param running runs on the worker
      * @param ended ends of runs that the agent has not acknowledged
+     * @param complete false if entries of the lists could not be read and are left out
      */
     record Renewed(
-            long workerClockMillis, long incarnation, List<RunStatus> running, List<EndedRun> ended)
+            long workerClockMillis,
+            long incarnation,
+            List<RunStatus> running,
+            List<EndedRun> ended,
+            boolean complete)
             implements LeaseRenewalReply {}
 
     /** The worker has seen a higher fencing token. */
--- a/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
@@ -5,7 +5,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunStatus;
@@ -62,18 +64,21 @@
     }
 
     /**
-     * Updates the table from a worker's list of runs. A started run that is missing from the list
-     * is removed only if it started before the list was requested.
+     * Removes the started runs that are missing from a worker's complete list of runs and that
+     * started before the list was requested.
      */
-    void updateRunning(List<RunStatus> rows, long requestedAtMillis, long nowMillis) {
-        Map<TaskName, RunStatus> listed = new HashMap<>();
-        rows.forEach(row -> listed.put(row.task(), row));
+    void removeAbsent(List<RunStatus> rows, long requestedAtMillis) {
+        Set<TaskName> listed = rows.stream().map(RunStatus::task).collect(Collectors.toSet());
         mRuns.values()
                 .removeIf(
                         run ->
                                 run.mStarted
                                         && run.mStartedAtMillis < requestedAtMillis
-                                        && !listed.containsKey(run.mTask));
+                                        && !listed.contains(run.mTask));
+    }
+
+    /** Adds and updates the runs in a worker's list. */
+    void updateRunning(List<RunStatus> rows, long nowMillis) {
         for (RunStatus row : rows) {
             Run run = mRuns.get(row.task());
             if (run == null || run.mNumber < row.run()) {
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -5,6 +5,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
@@ -37,16 +38,21 @@
     private final AgentSession mSession =
             new AgentSession(SETTINGS, mClock, mTimers, mWorker, DecisionLog.NONE);
     private final FakeOwner mOwner = new FakeOwner();
+    private long mReportCount;
 
     /** Owner that records messages and can stop answering pings. */
     private final class FakeOwner implements Link {
         private final List<NodeMessage> mMessages = new ArrayList<>();
         private boolean mAnswersPings = true;
+        private boolean mFailsOnEnds;
         private boolean mClosed;
         private long mLatestPing;
 
         @Override
         public void send(NodeMessage message) {
+            if (mFailsOnEnds && message instanceof NodeMessage.Ends) {
+                throw new IllegalStateException("ends can't be encoded");
+            }
             mMessages.add(message);
             if (message instanceof NodeMessage.Ping ping && mAnswersPings) {
                 mLatestPing = ping.number();
@@ -95,6 +101,10 @@
         }
     }
 
+    private void report(WorkerInfo worker) {
+        mSession.workerReported(new StatusReport(worker, ++mReportCount));
+    }
+
     private StartOutcome lastOutcome() {
         return mOwner.messagesOf(NodeMessage.Outcome.class).getLast().outcome();
     }
@@ -102,7 +112,7 @@
     @BeforeEach
     void connect() {
         mClock.advance(Duration.ofSeconds(10));
-        mSession.workerReported(info(1, false));
+        report(info(1, false));
         mSession.connected(mOwner, 3);
         advanceMillis(1_000);
     }
@@ -145,12 +155,92 @@
     /** Guards against a start after the agent has received the report that its worker drains. */
     @Test
     void drainingWorkerGetsNoStart() {
-        mSession.workerReported(info(1, true));
+        report(info(1, true));
+        orderStart(mOwner.mLatestPing, order(1, false));
+        assertThat(mWorker.mStarts).isEmpty();
+        assertThat(lastOutcome()).isEqualTo(StartOutcome.NOT_PERMITTED);
+    }
+
+    /**
+     * Guards against starts on a draining worker after one of its earlier reports has overtaken the
+     * report that it drains.
+     */
+    @Test
+    void lateReportDoesNotEndDraining() {
+        mSession.workerReported(new StatusReport(info(1, true), 7));
+        mSession.workerReported(new StatusReport(info(1, false), 6));
         orderStart(mOwner.mLatestPing, order(1, false));
         assertThat(mWorker.mStarts).isEmpty();
         assertThat(lastOutcome()).isEqualTo(StartOutcome.NOT_PERMITTED);
     }
 
+    /** Guards against a worker that has left and is used again because of a delayed report. */
+    @Test
+    void lateReportOfWorkerThatHasLeftIsIgnored() {
+        mSession.workerLeft("w", OptionalLong.of(1));
+        int renewals = mWorker.mRenewals.size();
+        report(info(1, false));
+        advanceMillis(1_000);
+        assertThat(mWorker.mRenewals).hasSize(renewals);
+        report(info(2, false));
+        assertThat(mWorker.mRenewals.getLast().worker().incarnation()).isEqualTo(2);
+    }
+
+    /** Guards against giving up a restarted worker because its earlier incarnation has left. */
+    @Test
+    void lateNoticeOfEarlierIncarnationIsIgnored() {
+        mWorker.mIncarnation = 2;
+        report(info(2, false));
+        mSession.workerLeft("w", OptionalLong.of(1));
+        advanceMillis(1_000);
+        assertThat(mOwner.messagesOf(NodeMessage.WorkerLost.class)).isEmpty();
+        assertThat(mWorker.mRenewals.getLast().worker().incarnation()).isEqualTo(2);
+    }
+
+    /** Guards against leases that lapse because one reply could not be processed. */
+    @Test
+    void renewalsContinueAfterAReplyCouldNotBeProcessed() {
+        mOwner.mFailsOnEnds = true;
+        mWorker.mEnded.add(new EndedRun(1, TASK, 1, EndKind.DONE, ""));
+        advanceMillis(1_000);
+        int renewals = mWorker.mRenewals.size();
+        advanceMillis(1_000);
+        assertThat(mWorker.mRenewals.size()).isGreaterThan(renewals);
+    }
+
+    /**
+     * Guards against giving up a run, and starting its task again elsewhere, because its row in the
+     * worker's list could not be read.
+     */
+    @Test
+    void runMissingFromIncompleteListIsKept() {
+        orderStart(mOwner.mLatestPing, order(1, false));
+        advanceMillis(1_000);
+        mWorker.mRunning.clear();
+        mWorker.mListsComplete = false;
+        advanceMillis(2_000);
+        var progress = mOwner.messagesOf(NodeMessage.Progress.class).getLast();
+        assertThat(progress.running()).hasSize(1);
+        mWorker.mListsComplete = true;
+        advanceMillis(2_000);
+        progress = mOwner.messagesOf(NodeMessage.Progress.class).getLast();
+        assertThat(progress.running()).isEmpty();
+    }
+
+    /** Guards against a first report that leaves out a run whose row could not be read. */
+    @Test
+    void stateIsNotReportedFromIncompleteList() {
+        mWorker.mListsComplete = false;
+        mSession.disconnected();
+        mOwner.mMessages.clear();
+        mSession.connected(mOwner, 3);
+        advanceMillis(1_000);
+        assertThat(mOwner.messagesOf(NodeMessage.Report.class)).isEmpty();
+        mWorker.mListsComplete = true;
+        advanceMillis(1_000);
+        assertThat(mOwner.messagesOf(NodeMessage.Report.class)).hasSize(1);
+    }
+
     /** Guards against a start that the worker carries out long after the order. */
     @Test
     void startOrderHasShortDeadline() {
@@ -215,8 +305,8 @@
     @Test
     void statusReportOfEarlierIncarnationIsIgnored() {
         mWorker.mIncarnation = 2;
-        mSession.workerReported(info(2, false));
-        mSession.workerReported(info(1, false));
+        report(info(2, false));
+        report(info(1, false));
         assertThat(mWorker.mRenewals.getLast().worker().incarnation()).isEqualTo(2);
     }
 
--- a/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
@@ -22,6 +22,7 @@
     private final Clock mClock;
     StartReply mStartReply = new StartReply.Started(0);
     boolean mSilent;
+    boolean mListsComplete = true;
     long mIncarnation = 1;
     Consumer<LeaseRenewalReply> mWaitingReply;
 
@@ -90,6 +91,7 @@
                                 mClock.monotonicMillis(),
                                 mIncarnation,
                                 List.copyOf(mRunning),
-                                List.copyOf(mEnded)));
+                                List.copyOf(mEnded),
+                                mListsComplete));
     }
 }
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -33,6 +33,7 @@
 import org.knapweedbank.node.ManualTimers;
 import org.knapweedbank.node.agent.AgentSession;
 import org.knapweedbank.node.agent.AgentSettings;
+import org.knapweedbank.node.agent.StatusReport;
 import org.knapweedbank.node.batch.BatchLoad.LoadJob;
 import org.knapweedbank.node.link.Link;
 import org.knapweedbank.node.link.NodeMessage;
@@ -123,7 +124,7 @@
         }
 
         private void connect() {
-            mSession.workerReported(mInfo);
+            mSession.workerReported(new StatusReport(mInfo, 1));
             mSession.connected(this, 1);
         }
 
