Bound the numbers of submissions and configurations; keep unreadable records safe

Cause: a submission with an extreme number of tasks, a repeat count, an estimate or a due time near the limits of a long was accepted; it then exhausted the memory of the owner or made its scheduling round throw, which stopped the placement of all jobs. If the record of the VM list could not be read, a new owner took all VMs of the earlier one for gone and would have started running tasks again. A job whose record could not be read was reported as unknown, and a repeated submission overwrote it. An owner whose VM had been suspended took its ownership and its view for fresh, since the monotonic clock stands still then, and answered that jobs accepted by a later owner do not exist.

--- a/jobs/src/main/java/org/knapweedbank/jobs/JobQueue.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/JobQueue.java
@@ -20,4 +20,17 @@
         int maxAttempts,
         double stretch,
         Duration latencyTarget,
-        Duration timeout) {}
+        Duration timeout) {
+    /**
+     * Checks the ranges.
+     *
+     * @throws IllegalArgumentException if the stretch or a duration is out of range
+     */
+    public JobQueue {
+        if (!(stretch >= 0 && stretch <= Limits.MAX_STRETCH)) {
+            throw new IllegalArgumentException("stretch is out of range: " + stretch);
+        }
+        Limits.requireInRange(latencyTarget, "latency target");
+        Limits.requireInRange(timeout, "timeout");
+    }
+}
--- a/jobs/src/main/java/org/knapweedbank/jobs/JobSubmission.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/JobSubmission.java
@@ -19,7 +19,7 @@
      * Copies the steps and checks that each depends only on earlier ones.
      *
      * @throws IllegalArgumentException when there is no step, a dependency is not an earlier step,
-     *     or the number of occurrences is out of range
+     *     or the number of occurrences or of tasks is out of range
      */
     public JobSubmission {
         steps = List.copyOf(steps);
@@ -37,5 +37,9 @@
             throw new IllegalArgumentException(
                     "number of occurrences is out of range: " + timetable.occurrences());
         }
+        long tasks = steps.stream().mapToLong(StepSpec::count).sum() * timetable.occurrenceCount();
+        if (tasks > Limits.MAX_TASKS) {
+            throw new IllegalArgumentException("job has too many tasks: " + tasks);
+        }
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/StepSpec.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/StepSpec.java
@@ -30,18 +30,23 @@
         String image,
         Duration latencyObjective,
         int disruptionBudget) {
+    private static final Resources MAX_RESOURCES =
+            new Resources(Limits.MAX_AMOUNT, Limits.MAX_AMOUNT, (int) Limits.MAX_AMOUNT);
+
     /**
      * Checks the ranges and copies the list.
      *
-     * @throws IllegalArgumentException when there is no task or the resources are negative
+     * @throws IllegalArgumentException when there is no task or a number is out of range
      */
     public StepSpec {
         if (count < 1) {
             throw new IllegalArgumentException("step must have at least one task: " + count);
         }
-        if (!perTask.isNonNegative()) {
-            throw new IllegalArgumentException("resources are negative: " + perTask);
+        if (!perTask.isNonNegative() || !perTask.fitsIn(MAX_RESOURCES)) {
+            throw new IllegalArgumentException("resources are out of range: " + perTask);
         }
+        Limits.requireInRange(estimate, "estimate");
+        Limits.requireInRange(latencyObjective, "latency objective");
         after = List.copyOf(after);
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/SubmissionCodec.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/SubmissionCodec.java
@@ -50,7 +50,7 @@
                         Duration.ofMillis(in.unpackLong()),
                         in.unpackInt());
         int count = in.unpackArrayHeader();
-        List<StepSpec> steps = new ArrayList<>(count);
+        List<StepSpec> steps = new ArrayList<>();
         for (int i = 0; i < count; i++) {
             steps.add(unpackStep(in));
         }
@@ -88,7 +88,7 @@
         Resources perTask = new Resources(in.unpackLong(), in.unpackLong(), in.unpackInt());
         Duration estimate = Duration.ofMillis(in.unpackLong());
         int dependencies = in.unpackArrayHeader();
-        List<Integer> after = new ArrayList<>(dependencies);
+        List<Integer> after = new ArrayList<>();
         for (int i = 0; i < dependencies; i++) {
             after.add(in.unpackInt());
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/Timetable.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/Timetable.java
@@ -15,6 +15,18 @@
     /** Timetable of a job that runs once, as soon as possible. */
     public static final Timetable ONCE = new Timetable(Instant.EPOCH, Duration.ZERO, 0);
 
+    /**
+     * Checks the ranges.
+     *
+     * @throws IllegalArgumentException if the interval or the due time is out of range
+     */
+    public Timetable {
+        Limits.requireInRange(interval, "interval");
+        if (first.isBefore(Instant.EPOCH) || first.isAfter(Limits.LAST_DUE_TIME)) {
+            throw new IllegalArgumentException("first due time is out of range: " + first);
+        }
+    }
+
     /**
      * Returns the due time of an occurrence.
      *
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -117,12 +117,21 @@
      * moment.
      */
     public void markViewCurrent() {
-        mState.mViewCurrentAt = mState.now();
+        mState.mViewCurrentAt = Timestamp.now(mState.mClock);
     }
 
     /** Records that the store has just confirmed the ownership. */
     public void confirmOwnership() {
-        mState.mOwnershipConfirmedAt = mState.now();
+        mState.mOwnershipConfirmedAt = Timestamp.now(mState.mClock);
+    }
+
+    /**
+     * Returns whether the store has confirmed the ownership recently enough to act as owner.
+     *
+     * @return true if no later owner can act yet
+     */
+    public boolean ownershipConfirmed() {
+        return mState.ownershipConfirmed();
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -49,13 +49,13 @@
     Set<DataCentreId> mEvacuatedDataCentres = Set.of();
 
     /**
-     * Monotonic time in milliseconds at which the configuration and the evacuated data centres were
-     * last known to match the store.
+     * Moment at which the configuration and the evacuated data centres were last known to match the
+     * store.
      */
-    long mViewCurrentAt = Long.MIN_VALUE / 2;
+    Timestamp mViewCurrentAt = Timestamp.NEVER;
 
-    /** Monotonic time in milliseconds at which the store last confirmed the ownership. */
-    long mOwnershipConfirmedAt;
+    /** Moment at which the store last confirmed the ownership. */
+    Timestamp mOwnershipConfirmedAt;
 
     OwnerState(
             OwnerSettings settings, Clock clock, OwnerOutput output, DecisionLog log, long term) {
@@ -65,7 +65,7 @@
         mLog = log;
         mTerm = term;
         mTakenOverAt = clock.monotonicMillis();
-        mOwnershipConfirmedAt = mTakenOverAt;
+        mOwnershipConfirmedAt = Timestamp.now(clock);
     }
 
     /** Returns the monotonic time in milliseconds. */
@@ -114,6 +114,6 @@
 
     /** Returns whether the store has confirmed the ownership recently enough to act as owner. */
     boolean ownershipConfirmed() {
-        return now() - mOwnershipConfirmedAt <= mSettings.renewalAuthority().toMillis();
+        return mOwnershipConfirmedAt.ageMillis(mClock) <= mSettings.renewalAuthority().toMillis();
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -67,10 +67,19 @@
                 .filter(job -> hasReadyTasks(job) || mFillerMover.hasStarved(job))
                 .map(job -> new RankedJob(job, JobUrgency.of(job, now, mState.mRunTimeEstimator)))
                 .sorted(Comparator.comparing(RankedJob::urgency))
-                .forEach(this::placeRanked);
+                .forEach(this::placeSafely);
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
     }
 
+    /** Places a job; a failure must not keep the other jobs from being placed. */
+    private void placeSafely(RankedJob ranked) {
+        try {
+            placeRanked(ranked);
+        } catch (RuntimeException e) {
+            mState.mLog.record("job.placement_failed", ranked.job().id().value(), "cause", e);
+        }
+    }
+
     private void placeRanked(RankedJob ranked) {
         logRankChange(ranked.job(), ranked.urgency());
         placeJob(ranked.job());
@@ -108,7 +117,7 @@
      * tasks.
      */
     private boolean mayStart() {
-        long age = mState.now() - mState.mViewCurrentAt;
+        long age = mState.mViewCurrentAt.ageMillis(mState.mClock);
         return mState.ownershipConfirmed() && age <= mState.mSettings.maxViewAge().toMillis();
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
@@ -27,9 +27,30 @@
     private long mVersion;
     private long mStoredVersion;
     private long mRevision;
+    private boolean mUnreadable;
 
     VmList() {}
 
+    /**
+     * Returns a list in place of a stored record that can't be read. Any VM may run tasks that an
+     * earlier owner has started.
+     *
+     * @param revision store revision of the record
+     * @return the list
+     */
+    public static VmList unreadable(long revision) {
+        VmList list = new VmList();
+        list.mRevision = revision;
+        list.mUnreadable = true;
+        list.mVersion = 1;
+        return list;
+    }
+
+    /** Returns whether the list stands in for a record that could not be read. */
+    boolean isUnreadable() {
+        return mUnreadable;
+    }
+
     /**
      * Decodes the stored list.
      *
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -70,7 +70,14 @@
      * has not reported yet.
      */
     boolean hasUnresolvedVms() {
-        return mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
+        return mVmList.isUnreadable() && !earlierLeasesExpired()
+                || mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
+    }
+
+    /** Returns whether all leases that earlier owners have allowed have expired by now. */
+    private boolean earlierLeasesExpired() {
+        long sinceTakeoverMillis = mState.now() - mState.mTakenOverAt;
+        return sinceTakeoverMillis >= mState.mSettings.earlierLeaseTimeout().toMillis();
     }
 
     /** Returns whether the leases of all runs on an unreachable VM have expired. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
@@ -3,14 +3,19 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.JobState;
 import org.knapweedbank.jobs.StartOutcome;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.time.Clock;
 
 /** Tests of the life cycle of jobs under one owner. */
 class JobOwnerTest {
@@ -273,4 +278,64 @@
         mFixture.advanceTime(Duration.ofSeconds(1), "vm");
         assertThat(mFixture.mStarts).hasSize(2);
     }
+
+    /** Guards against one job that keeps all others from being placed. */
+    @Test
+    void failureOfOneJobDoesNotStopTheOthers() {
+        OwnerFixture owner = new OwnerFixture();
+        owner.addVm("vm", 8_000);
+        owner.mFailingJob = "a";
+        owner.submit("a", OwnerFixture.step(1, 1_000, StepTraits.BATCH));
+        owner.submit("b", OwnerFixture.step(1, 1_000, StepTraits.BATCH));
+        owner.storeAndSchedule();
+        assertThat(owner.lastStart().mTask().job().value()).isEqualTo("b");
+        assertThat(owner.logLines("job.placement_failed")).hasSize(1);
+    }
+
+    /**
+     * Guards against an owner that acts after its VM was suspended, while its monotonic clock stood
+     * still and its ownership and its view of the configuration ran out.
+     */
+    @Test
+    void suspendedOwnerGrantsNothingUntilItsOwnershipIsConfirmed() {
+        SuspendableClock clock = new SuspendableClock();
+        JobOwner owner =
+                new JobOwner(
+                        OwnerFixture.SETTINGS,
+                        clock,
+                        new OwnerFixture(),
+                        DecisionLog.NONE,
+                        1,
+                        new VmList());
+        DaemonId vm = new DaemonId("vm");
+        AgentReport report =
+                new AgentReport(
+                        Optional.of(OwnerFixture.worker("vm", 1, 8_000, false)),
+                        true,
+                        List.of(),
+                        List.of(),
+                        List.of());
+        owner.handleReport(vm, OwnerFixture.DATA_CENTRE, report, true);
+        assertThat(owner.grantAuthority(vm)).isTrue();
+        clock.mSuspended = Duration.ofSeconds(20);
+        assertThat(owner.ownershipConfirmed()).isFalse();
+        assertThat(owner.grantAuthority(vm)).isFalse();
+        owner.confirmOwnership();
+        assertThat(owner.grantAuthority(vm)).isTrue();
+    }
+
+    /** Clock of a VM whose monotonic time does not count the time for which it was suspended. */
+    private static final class SuspendableClock implements Clock {
+        private Duration mSuspended = Duration.ZERO;
+
+        @Override
+        public Instant wallTime() {
+            return Instant.ofEpochSecond(1_000).plus(mSuspended);
+        }
+
+        @Override
+        public long monotonicNanos() {
+            return 0;
+        }
+    }
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -58,6 +58,9 @@
 
     final List<LogLine> mLog = new ArrayList<>();
 
+    /** Job whose start orders cause an exception; empty if there is none. */
+    String mFailingJob = "";
+
     /** Highest acknowledged number of an ended run, by agent. */
     final Map<DaemonId, Long> mAcknowledgedEnds = new HashMap<>();
 
@@ -89,7 +92,11 @@
 
     /** Returns the owner of the next term, which has loaded what this owner has stored. */
     OwnerFixture createSuccessor() throws IOException {
-        VmList list = VmList.decode(mListRecord, mOwner.vmList().revision());
+        return createSuccessor(VmList.decode(mListRecord, mOwner.vmList().revision()));
+    }
+
+    /** Returns the owner of the next term, which has read a given VM list. */
+    OwnerFixture createSuccessor(VmList list) throws IOException {
         OwnerFixture successor = new OwnerFixture(mClock, mTerm + 1, list);
         successor.mRevision = mRevision;
         successor.mListRecord = mListRecord;
@@ -242,6 +249,9 @@
 
     @Override
     public void start(DaemonId agent, StartOrder order) {
+        if (order.task().job().value().equals(mFailingJob)) {
+            throw new IllegalStateException("order of " + mFailingJob + " can't be sent");
+        }
         mProfiles.add(order.profile());
         mStarts.add(new Order(agent, order.task(), order.run(), order.checkpoint()));
     }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -52,6 +52,24 @@
                 .isEqualTo(JobState.COMPLETED);
     }
 
+    /**
+     * Guards against a second run of a task because the record of the VM list can't be read, and
+     * the new owner takes all VMs of the earlier owner for gone.
+     */
+    @Test
+    void earlierTaskWaitsForLeasesIfVmListIsUnreadable() throws IOException {
+        startOneTask();
+        OwnerFixture newOwner = mEarlierOwner.createSuccessor(VmList.unreadable(7));
+        newOwner.addVm("other", 8_000);
+        Duration limit = OwnerFixture.SETTINGS.earlierLeaseTimeout();
+        for (int second = 0; second < limit.toSeconds(); second++) {
+            assertThat(newOwner.mStarts).isEmpty();
+            newOwner.advanceTime(Duration.ofSeconds(1), "other");
+        }
+        newOwner.advanceTime(Duration.ofSeconds(1), "other");
+        assertThat(newOwner.mStarts).hasSize(1);
+    }
+
     /** Guards against waiting forever for a VM that no longer exists. */
     @Test
     void earlierTaskStartsOnceEarlierLeasesHaveExpired() throws IOException {
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.RunProfile;
@@ -20,6 +22,7 @@
 import org.knapweedbank.jobs.owner.SubmitResult;
 import org.knapweedbank.jobs.owner.VmList;
 import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.JobId;
 import org.knapweedbank.node.CallAnswer;
 import org.knapweedbank.node.CallRequest;
 import org.knapweedbank.node.Timers;
@@ -52,6 +55,16 @@
      */
     private static final long TAKEOVER_REQUEST_MILLIS = 600;
 
+    /** Delay that a caller is told to wait while the ownership is not confirmed. */
+    private static final Duration OWNER_RETRY_AFTER = Duration.ofSeconds(1);
+
+    /**
+     * Answer to calls for a job whose record can't be read. The record is kept, so the job may have
+     * run and is neither refused nor unknown.
+     */
+    private static final CallAnswer UNREADABLE_JOB =
+            new CallAnswer.OutcomeUnknown("the record of the job can't be read");
+
     /** Delay that a caller is told to wait when the store is unavailable. */
     private static final Duration STORE_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -69,6 +82,10 @@
     private final Map<DaemonId, Long> mAgentProcessStarts = new HashMap<>();
 
     private final List<Link> mEntryLinks = new ArrayList<>();
+
+    /** Keys of job records that could not be read; the records are kept as they are. */
+    private final Set<String> mUnreadableKeys = new HashSet<>();
+
     private final List<WaitingCall> mWaitingCalls = new ArrayList<>();
     private JobOwner mOwner;
     private RecordWriter mWriter;
@@ -147,18 +164,38 @@
      */
     void call(CallRequest request, Consumer<CallAnswer> done) {
         switch (request) {
+            case CallRequest.Submit submit when isUnreadable(submit.submission().id()) ->
+                    done.accept(UNREADABLE_JOB);
+            case CallRequest.Cancel cancel when isUnreadable(cancel.job()) ->
+                    done.accept(UNREADABLE_JOB);
+            case CallRequest.Read read when isUnreadable(read.job()) -> done.accept(UNREADABLE_JOB);
             case CallRequest.Submit submit -> submit(submit, done);
             case CallRequest.Cancel cancel -> cancel(cancel, done);
-            case CallRequest.Read read ->
-                    done.accept(
-                            mOwner.find(read.job())
-                                    .<CallAnswer>map(job -> new CallAnswer.State(job.state()))
-                                    .orElseGet(CallAnswer.NoSuchJob::new));
+            case CallRequest.Read read -> done.accept(read(read.job()));
             case CallRequest.Count count ->
                     done.accept(new CallAnswer.Pending(mOwner.countPendingJobs(count.queue())));
         }
     }
 
+    /**
+     * Returns the state of a job. Without a recent confirmation of the ownership, a job that is
+     * missing here may have been accepted by a later owner.
+     */
+    private CallAnswer read(JobId id) {
+        Optional<Job> job = mOwner.find(id);
+        if (job.isPresent()) {
+            return new CallAnswer.State(job.get().state());
+        }
+        return mOwner.ownershipConfirmed()
+                ? new CallAnswer.NoSuchJob()
+                : new CallAnswer.Refused(
+                        "the ownership is not confirmed", false, OWNER_RETRY_AFTER);
+    }
+
+    private boolean isUnreadable(JobId job) {
+        return mUnreadableKeys.contains(StoreKeys.job(job));
+    }
+
     /** Accepts the link of an agent, which gets start orders once it has reported its state. */
     LinkListener acceptAgent(Link link, NodeMessage.AgentHello hello) {
         AgentLink agent = new AgentLink(link, hello);
@@ -261,6 +298,7 @@
                 owner.load(item.value(), item.revision());
             } catch (IOException e) {
                 mLog.record("owner.unreadable", item.key(), "cause", e.getMessage());
+                mUnreadableKeys.add(item.key());
             }
         }
         mOwner = owner;
@@ -277,15 +315,7 @@
             return JobOwner.decodeVmList(record, revision);
         } catch (IOException e) {
             mLog.record("owner.unreadable", StoreKeys.VMS, "cause", e.getMessage());
-            return emptyVmList(revision);
-        }
-    }
-
-    private static VmList emptyVmList(long revision) {
-        try {
-            return JobOwner.decodeVmList(new byte[0], revision);
-        } catch (IOException e) {
-            throw new IllegalStateException(e);
+            return VmList.unreadable(revision);
         }
     }
 
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -147,4 +147,36 @@
         mTimers.advance(Duration.ofSeconds(4));
         assertThat(mAnswers).containsExactly(new CallAnswer.Accepted(), new CallAnswer.Accepted());
     }
+
+    /**
+     * Guards against a job whose record can't be read and that is reported as unknown, refused as
+     * not accepted, or overwritten by a repeated call.
+     */
+    @Test
+    void unreadableJobIsNeitherUnknownNorRefusedNorOverwritten() {
+        byte[] record = {1, 2, 3};
+        mStore.apply(new StoreChange().put(StoreKeys.job(JOB), record, 0));
+        OwnershipTerm next = startTerm(2);
+        next.call(submitRequest(), mAnswers::add);
+        next.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        next.call(new CallRequest.Cancel(QUEUE, JOB), mAnswers::add);
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mAnswers).hasSize(3);
+        mAnswers.forEach(
+                answer -> assertThat(answer).isInstanceOf(CallAnswer.OutcomeUnknown.class));
+        assertThat(mStore.item(StoreKeys.job(JOB)).value()).isEqualTo(record);
+    }
+
+    /**
+     * Guards against an owner that reports a job as unknown although its ownership has run out and
+     * a later owner may have accepted the job.
+     */
+    @Test
+    void unconfirmedOwnerDoesNotReportJobAsUnknown() {
+        mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        assertThat(mAnswers.getLast()).isInstanceOf(CallAnswer.NoSuchJob.class);
+        mClock.advance(TIMEOUT.plusSeconds(1));
+        mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        assertThat(mAnswers.getLast()).isInstanceOf(CallAnswer.Refused.class);
+    }
 }
