Owner: cut the cost of a scheduling round, pace the rounds by their duration

Cause: on 80 VMs a scheduling round walked all known jobs, all tasks of each ready job and, for each waiting filler and VM, all runs of the VM, several times; and each message caused a round of its own.

Change: finished jobs are out of the scheduler's walk; VMs keep totals by image and step, the unused reservations and the starved fillers; a candidate VM is scored once; urgency reads step totals. A round waits three times as long as the last one took, 40 ms at most, for further inputs.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/BatchProgressLogger.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/BatchProgressLogger.java
@@ -72,8 +72,8 @@
     }
 
     private List<Job> fillerJobs() {
-        return mState.mJobs.values().stream()
-                .filter(job -> job.stored() && !job.finished())
+        return mState.unfinishedJobs().stream()
+                .filter(Job::stored)
                 .filter(BatchProgressLogger::hasFillers)
                 .toList();
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
@@ -42,7 +42,7 @@
         mState.mVms.values().forEach(vm -> vm.removeExpiredClaims(mState.now()));
         mStarvedByJob =
                 mState.mVms.values().stream()
-                        .flatMap(vm -> vm.mRuns.values().stream())
+                        .flatMap(vm -> vm.starvedFillers().stream())
                         .filter(FillerMover::shouldMove)
                         .collect(Collectors.groupingBy(run -> run.mTask.mStep.mJob));
     }
@@ -80,6 +80,7 @@
                 && run.mStarvedReports >= MIN_STARVED_REPORTS
                 && run.mProgressPercent < NEARLY_DONE_PERCENT
                 && task.mMoves < MAX_MOVES
+                && task.mRun == run
                 && !run.mStopping
                 && !task.mDone;
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -198,6 +198,11 @@
         return mOccurrences.stream().allMatch(Occurrence::complete);
     }
 
+    /** Returns whether a task of the job has a run. */
+    boolean hasRuns() {
+        return mOccurrences.stream().flatMap(o -> o.mSteps.stream()).anyMatch(Step::hasRuns);
+    }
+
     Stream<Task> tasks() {
         return mOccurrences.stream()
                 .flatMap(o -> o.mSteps.stream())
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -83,7 +83,7 @@
     public void load(byte[] record, long revision) throws IOException {
         Job job = JobRecords.decode(record);
         job.markLoaded(revision, mState.now());
-        mState.mJobs.put(job.id(), job);
+        mState.addJob(job);
     }
 
     /**
@@ -95,8 +95,7 @@
     public void configure(Collection<JobQueue> queues) {
         mState.mQueues =
                 queues.stream().collect(Collectors.toMap(JobQueue::key, Function.identity()));
-        mState.mJobs.values().stream()
-                .filter(job -> !job.finished())
+        mState.unfinishedJobs()
                 .forEach(
                         job ->
                                 Optional.ofNullable(mState.mQueues.get(job.queue().key()))
@@ -142,7 +141,7 @@
      * @return the job, or the reason why it is refused
      */
     public SubmitResult submit(JobSubmission submission, QueueKey queue) {
-        Job known = mState.mJobs.get(submission.id());
+        Job known = mState.findJob(submission.id());
         if (known != null) {
             return new SubmitResult.Known(known);
         }
@@ -152,7 +151,7 @@
         }
         Instant accepted = mState.mClock.wallTime();
         Job job = new Job(submission, configured, accepted);
-        mState.mJobs.put(job.id(), job);
+        mState.addJob(job);
         mState.mLog.record(
                 "job.created",
                 job.id().value(),
@@ -172,7 +171,7 @@
      * @param job the job
      */
     public void removeJob(Job job) {
-        mState.mJobs.remove(job.id(), job);
+        mState.removeJob(job);
     }
 
     /**
@@ -183,7 +182,7 @@
      *     the job is unknown
      */
     public Optional<Job> cancel(JobId id) {
-        Job job = mState.mJobs.get(id);
+        Job job = mState.findJob(id);
         if (job != null && !job.finished()) {
             job.mCancelled = true;
             job.finish(mState.now());
@@ -200,7 +199,7 @@
      * @return the job; empty if it is unknown or not stored yet
      */
     public Optional<Job> find(JobId id) {
-        return Optional.ofNullable(mState.mJobs.get(id)).filter(Job::stored);
+        return Optional.ofNullable(mState.findJob(id)).filter(Job::stored);
     }
 
     /**
@@ -211,7 +210,7 @@
      *     answer
      */
     public boolean knows(JobId id) {
-        return mState.mJobs.containsKey(id);
+        return mState.findJob(id) != null;
     }
 
     /**
@@ -221,9 +220,9 @@
      * @return the count
      */
     public long countPendingJobs(QueueKey queue) {
-        return mState.mJobs.values().stream()
+        return mState.unfinishedJobs().stream()
                 .filter(job -> job.stored() && job.queue().key().equals(queue))
-                .filter(job -> job.state() == JobState.QUEUED && !job.finished())
+                .filter(job -> job.state() == JobState.QUEUED)
                 .count();
     }
 
@@ -338,7 +337,7 @@
      * @return the jobs, in the order in which the owner accepted or loaded them
      */
     public List<Job> dirtyJobs(int limit) {
-        return mState.mJobs.values().stream().filter(Job::dirty).limit(limit).toList();
+        return mState.jobs().stream().filter(Job::dirty).limit(limit).toList();
     }
 
     /**
@@ -392,9 +391,9 @@
      */
     public List<Job> expired() {
         long limit = mState.now() - mState.mSettings.retention().toMillis();
-        return mState.mJobs.values().stream()
+        return mState.jobs().stream()
                 .filter(job -> job.finished() && !job.dirty() && job.finishedAt() < limit)
-                .filter(job -> job.tasks().allMatch(task -> task.mRun == null))
+                .filter(job -> !job.hasRuns())
                 .toList();
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
@@ -65,17 +65,15 @@
 
     /** Returns the value of a job that meets its objective, per unit of remaining work. */
     private static double valueDensity(Job job, RunTimeEstimator runTimeEstimator) {
-        double totalWork = workCoreMillis(job, task -> 1.0, runTimeEstimator);
-        double remaining =
-                workCoreMillis(
-                        job, task -> task.mDone ? 0 : task.remainingShare(), runTimeEstimator);
+        double totalWork = workCoreMillis(job, step -> step.mTasks.size(), runTimeEstimator);
+        double remaining = workCoreMillis(job, Step::remainingTasks, runTimeEstimator);
         return Math.pow(Math.max(MIN_WORK_CORE_MILLIS, totalWork), SIZE_EXPONENT)
                 / Math.max(MIN_WORK_CORE_MILLIS, remaining);
     }
 
-    /** Returns the work in a given share of each task, in core-milliseconds. */
+    /** Returns the work in a given number of tasks of each step, in core-milliseconds. */
     private static double workCoreMillis(
-            Job job, ToDoubleFunction<Task> share, RunTimeEstimator runTimeEstimator) {
+            Job job, ToDoubleFunction<Step> tasks, RunTimeEstimator runTimeEstimator) {
         return job.mOccurrences.stream()
                 .flatMap(occurrence -> occurrence.mSteps.stream())
                 .mapToDouble(
@@ -83,7 +81,7 @@
                                 step.expectedRunMillis(runTimeEstimator)
                                         * step.mSpec.perTask().milliCpu()
                                         / 1_000
-                                        * step.mTasks.stream().mapToDouble(share).sum())
+                                        * tasks.applyAsDouble(step))
                 .sum();
     }
 
@@ -135,13 +133,7 @@
         if (step.complete()) {
             return 0;
         }
-        double remaining =
-                step.mTasks.stream()
-                        .filter(task -> !task.mDone)
-                        .mapToDouble(Task::remainingShare)
-                        .max()
-                        .orElse(0);
-        return step.expectedRunMillis(runTimeEstimator) * remaining;
+        return step.expectedRunMillis(runTimeEstimator) * step.maxRemainingShare();
     }
 
     @Override
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -1,7 +1,10 @@
 package org.knapweedbank.jobs.owner;
 
+import java.util.Collection;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.knapweedbank.jobs.DecisionLog;
@@ -40,7 +43,13 @@
     final RunTimeEstimator mRunTimeEstimator = new RunTimeEstimator();
 
     /** All known jobs, in the order in which they were accepted or loaded. */
-    final Map<JobId, Job> mJobs = new LinkedHashMap<>();
+    private final Map<JobId, Job> mJobs = new LinkedHashMap<>();
+
+    /**
+     * Jobs that are not known to be finished, in the same order. Most known jobs are finished and
+     * only kept for queries, so the scheduler walks these instead.
+     */
+    private final Set<Job> mUnfinishedJobs = new LinkedHashSet<>();
 
     /** VMs that have reported to this owner, by their agent. */
     final Map<DaemonId, Vm> mVms = new HashMap<>();
@@ -73,9 +82,35 @@
         return mClock.monotonicMillis();
     }
 
+    void addJob(Job job) {
+        mJobs.put(job.id(), job);
+        mUnfinishedJobs.add(job);
+    }
+
+    void removeJob(Job job) {
+        mJobs.remove(job.id(), job);
+        mUnfinishedJobs.remove(job);
+    }
+
+    /** Returns a job; null if it is unknown. */
+    Job findJob(JobId id) {
+        return mJobs.get(id);
+    }
+
+    /** Returns all known jobs, in the order in which they were accepted or loaded. */
+    Collection<Job> jobs() {
+        return Collections.unmodifiableCollection(mJobs.values());
+    }
+
+    /** Returns the jobs that are not finished, in the order of {@link #jobs()}. */
+    Collection<Job> unfinishedJobs() {
+        mUnfinishedJobs.removeIf(Job::finished);
+        return Collections.unmodifiableCollection(mUnfinishedJobs);
+    }
+
     /** Returns a task; null if the job is unknown or has no such task. */
     Task findTask(TaskName name) {
-        Job job = mJobs.get(name.job());
+        Job job = findJob(name.job());
         if (job == null || name.occurrence() < 0 || name.occurrence() >= job.mOccurrences.size()) {
             return null;
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PressureEstimator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PressureEstimator.java
@@ -90,16 +90,18 @@
      * started.
      */
     double pendingRise(Vm vm) {
+        if (vm.fillerMilliCpuByImage().isEmpty()) {
+            return 0;
+        }
+        double capacity = vm.mWorker.capacity().milliCpu();
         double requestedRise =
-                vm.mRuns.values().stream()
-                        .map(run -> run.mTask.mStep.mSpec)
-                        .filter(spec -> spec.traits().filler())
-                        .mapToDouble(spec -> expectedRise(spec, vm))
+                vm.fillerMilliCpuByImage().entrySet().stream()
+                        .mapToDouble(image -> factor(image.getKey()) * image.getValue() / capacity)
                         .sum();
         double currentRise =
-                vm.mSample == null
+                vm.sample() == null
                         ? 0
-                        : vm.mSample.use().entrySet().stream()
+                        : vm.sample().use().entrySet().stream()
                                 .mapToDouble(use -> factor(use.getKey()) * use.getValue())
                                 .sum();
         return Math.max(0, requestedRise - currentRise);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
@@ -119,14 +119,13 @@
         long starved =
                 mState.mVms.values().stream()
                         .filter(vm -> vm.mWorker != null && serviceOf(vm).equals(service))
-                        .flatMap(vm -> vm.mRuns.values().stream())
-                        .filter(run -> run.mTask.mStep.mSpec.traits().filler())
-                        .filter(run -> run.mStarvedReports > 0)
+                        .flatMap(vm -> vm.starvedFillers().stream())
+                        .filter(run -> run.mTask.mRun == run)
                         .mapToLong(run -> run.mTask.mStep.mSpec.perTask().milliCpu())
                         .sum();
         long waiting =
-                mState.mJobs.values().stream()
-                        .filter(job -> job.stored() && !job.finished())
+                mState.unfinishedJobs().stream()
+                        .filter(Job::stored)
                         .filter(job -> job.queue().service().equals(service))
                         .flatMap(job -> job.mOccurrences.stream())
                         .flatMap(occurrence -> occurrence.mSteps.stream())
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
@@ -56,6 +56,40 @@
                 : runTimeEstimator.expectedMillis(mJob.queue().key(), mSpec.estimate().toMillis());
     }
 
+    /** Returns whether a task of the step has a run. */
+    boolean hasRuns() {
+        return mWaitingTasks < mTasks.size() - mDoneTasks
+                || mDoneTasks > 0 && mTasks.stream().anyMatch(task -> task.mRun != null);
+    }
+
+    /**
+     * Returns the work that is left, in tasks; a task that runs counts with its remaining share.
+     */
+    double remainingTasks() {
+        if (complete()) {
+            return 0;
+        }
+        if (mWaitingTasks == mTasks.size()) {
+            return mWaitingTasks;
+        }
+        return mTasks.stream().filter(task -> !task.mDone).mapToDouble(Task::remainingShare).sum();
+    }
+
+    /** Returns the largest share of a task that is left, 0 if the step is complete. */
+    double maxRemainingShare() {
+        if (complete()) {
+            return 0;
+        }
+        if (mWaitingTasks > 0) {
+            return 1;
+        }
+        return mTasks.stream()
+                .filter(task -> !task.mDone)
+                .mapToDouble(Task::remainingShare)
+                .max()
+                .orElse(0);
+    }
+
     boolean complete() {
         return mDoneTasks == mTasks.size();
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -5,7 +5,9 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** Starts tasks that are due and have room, in the order of the urgency of their jobs. */
 final class TaskPlacer {
@@ -61,30 +63,39 @@
             mConsolidator.advance(usable);
         }
         Instant now = mState.mClock.wallTime();
-        mState.mJobs.values().stream()
-                .filter(job -> job.stored() && !job.finished())
-                .filter(job -> !(job.mLoadedFromStore && hasUnresolvedVms))
-                .filter(job -> hasReadyTasks(job) || mFillerMover.hasStarved(job))
-                .map(job -> new RankedJob(job, JobUrgency.of(job, now, mState.mRunTimeEstimator)))
-                .sorted(Comparator.comparing(RankedJob::urgency))
-                .forEach(this::placeSafely);
+        List<RankedJob> rankedJobs =
+                mState.unfinishedJobs().stream()
+                        .filter(Job::stored)
+                        .filter(job -> !(job.mLoadedFromStore && hasUnresolvedVms))
+                        .filter(job -> hasReadyTasks(job) || mFillerMover.hasStarved(job))
+                        .map(
+                                job ->
+                                        new RankedJob(
+                                                job,
+                                                JobUrgency.of(job, now, mState.mRunTimeEstimator)))
+                        .sorted(Comparator.comparing(RankedJob::urgency))
+                        .toList();
+        Map<String, List<Vm>> vmsByService =
+                usable.stream().collect(Collectors.groupingBy(vm -> vm.mWorker.service()));
+        rankedJobs.forEach(
+                ranked ->
+                        placeSafely(
+                                ranked,
+                                vmsByService.getOrDefault(
+                                        ranked.job().queue().service(), List.of())));
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
     }
 
     /** Places a job; a failure must not keep the other jobs from being placed. */
-    private void placeSafely(RankedJob ranked) {
+    private void placeSafely(RankedJob ranked, List<Vm> vms) {
         try {
-            placeRanked(ranked);
+            logRankChange(ranked.job(), ranked.urgency());
+            placeJob(ranked.job(), vms);
         } catch (RuntimeException e) {
             mState.mLog.record("job.placement_failed", ranked.job().id().value(), "cause", e);
         }
     }
 
-    private void placeRanked(RankedJob ranked) {
-        logRankChange(ranked.job(), ranked.urgency());
-        placeJob(ranked.job());
-    }
-
     /**
      * Logs when the number of time limits that a job will miss has changed, with the work that the
      * job has used so far.
@@ -127,8 +138,7 @@
                 .anyMatch(step -> step.mWaitingTasks > 0 && step.ready());
     }
 
-    private void placeJob(Job job) {
-        List<Vm> vms = mState.mVms.values().stream().filter(vm -> accepts(vm, job)).toList();
+    private void placeJob(Job job, List<Vm> vms) {
         if (vms.isEmpty()) {
             return;
         }
@@ -148,10 +158,6 @@
                 || !mState.mClock.wallTime().isBefore(timetable.due(occurrence.mNumber));
     }
 
-    private boolean accepts(Vm vm, Job job) {
-        return usable(vm) && vm.mWorker.service().equals(job.queue().service());
-    }
-
     /** Returns whether a VM may get start orders now. */
     private boolean usable(Vm vm) {
         return vm.mConnected
@@ -167,7 +173,7 @@
 
     /** Updates the time at which a task of the job last ran. */
     private void updateLastActive(Job job) {
-        boolean idle = job.tasks().allMatch(task -> task.mRun == null);
+        boolean idle = !job.hasRuns();
         if (!idle || job.mLastActiveAt < 0) {
             job.mLastActiveAt = mState.now();
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -4,8 +4,10 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
@@ -73,7 +75,25 @@
     long mAcknowledgedEnd;
 
     /** Last utilization sample of the VM; null before the first. */
-    PressureEstimator.Sample mSample;
+    private PressureEstimator.Sample mSample;
+
+    /** Highest utilization of a serving task in the last sample, 0 if there is none. */
+    private double mMaxServingUtilization;
+
+    /** Fillers that were starved in the last list of the runs on the VM. */
+    private List<Run> mStarvedFillers = List.of();
+
+    /** Processor time that the fillers of each image request, in thousandths of a core. */
+    private final Map<String, Long> mFillerMilliCpuByImage = new HashMap<>();
+
+    /** Number of runs of each step. */
+    private final Map<Step, Integer> mRunsByStep = new HashMap<>();
+
+    /**
+     * Processor time that serving tasks reserve but do not use, in thousandths of a core; negative
+     * if it has to be computed again.
+     */
+    private double mUnusedServingMilliCpu = -1;
 
     /** Sum of the reservations of all runs. */
     Resources mReserved = Resources.NONE;
@@ -114,6 +134,9 @@
      * @param task task whose own claim does not count
      */
     long milliCpuClaimedByOthers(Task task) {
+        if (mClaims.isEmpty()) {
+            return 0;
+        }
         return mClaims.keySet().stream()
                 .filter(claimingTask -> claimingTask != task)
                 .mapToLong(claimingTask -> claimingTask.mStep.mSpec.perTask().milliCpu())
@@ -134,7 +157,39 @@
         mLastEndNumber = 0;
         mAcknowledgedEnd = 0;
         mHealth.reset();
-        mSample = null;
+        mStarvedFillers = List.of();
+        setSample(null);
+    }
+
+    /** Returns the last utilization sample of the VM; null before the first. */
+    PressureEstimator.Sample sample() {
+        return mSample;
+    }
+
+    void setSample(PressureEstimator.Sample sample) {
+        mSample = sample;
+        mUnusedServingMilliCpu = -1;
+        mMaxServingUtilization =
+                sample == null
+                        ? 0
+                        : sample.utilization().values().stream()
+                                .mapToDouble(Double::doubleValue)
+                                .max()
+                                .orElse(0);
+    }
+
+    /** Returns the fillers that were starved in the last list of the runs on the VM. */
+    List<Run> starvedFillers() {
+        return mStarvedFillers;
+    }
+
+    /** Collects the fillers that are starved, after the runs have been updated from a list. */
+    void updateStarvedFillers() {
+        mStarvedFillers =
+                mRuns.values().stream()
+                        .filter(run -> run.mStarvedReports > 0)
+                        .filter(run -> run.mTask.mStep.mSpec.traits().filler())
+                        .toList();
     }
 
     /** Returns the part of the capacity that is not reserved. */
@@ -152,12 +207,7 @@
 
     /** Returns the highest utilization of a serving task, 0 if there is none. */
     double maxServingUtilization() {
-        return mSample == null
-                ? 0
-                : mSample.utilization().values().stream()
-                        .mapToDouble(Double::doubleValue)
-                        .max()
-                        .orElse(0);
+        return mMaxServingUtilization;
     }
 
     /**
@@ -165,10 +215,19 @@
      * thousandths of a core.
      */
     double unusedServingMilliCpu() {
-        return mRuns.values().stream()
-                .filter(run -> run.mTask.mStep.mSpec.serving())
-                .mapToDouble(this::unusedMilliCpu)
-                .sum();
+        if (mUnusedServingMilliCpu < 0) {
+            mUnusedServingMilliCpu =
+                    mRuns.values().stream()
+                            .filter(run -> run.mTask.mStep.mSpec.serving())
+                            .mapToDouble(this::unusedMilliCpu)
+                            .sum();
+        }
+        return mUnusedServingMilliCpu;
+    }
+
+    /** Returns the processor time that the fillers of each image request. */
+    Map<String, Long> fillerMilliCpuByImage() {
+        return mFillerMilliCpuByImage;
     }
 
     private double unusedMilliCpu(Run run) {
@@ -194,8 +253,8 @@
     }
 
     /** Returns the number of runs on the VM that belong to a step. */
-    long countRuns(Step step) {
-        return mRuns.values().stream().filter(run -> run.mTask.mStep == step).count();
+    int countRuns(Step step) {
+        return mRunsByStep.getOrDefault(step, 0);
     }
 
     /**
@@ -224,17 +283,34 @@
      * Adds the resources of a run to the totals of the VM, or subtracts them when the sign is -1.
      */
     private void updateTotals(Run run, int sign) {
-        var spec = run.mTask.mStep.mSpec;
+        Step step = run.mTask.mStep;
+        StepSpec spec = step.mSpec;
+        mRunsByStep.merge(step, sign, Vm::sumOrNone);
         mReserved =
                 sign > 0 ? mReserved.plus(spec.reservation()) : mReserved.minus(spec.reservation());
         if (spec.traits().filler()) {
-            mFillerMilliCpu += sign * spec.perTask().milliCpu();
+            long milliCpu = sign * spec.perTask().milliCpu();
+            mFillerMilliCpu += milliCpu;
+            mFillerMilliCpuByImage.merge(spec.image(), milliCpu, Vm::sumOrNone);
         }
         if (spec.serving()) {
             mServingMilliCpu += sign * spec.perTask().milliCpu();
+            mUnusedServingMilliCpu = -1;
         }
     }
 
+    /** Returns the sum, or null if it is zero, which removes the entry from its map. */
+    private static Integer sumOrNone(Integer first, Integer second) {
+        int sum = first + second;
+        return sum == 0 ? null : sum;
+    }
+
+    /** Returns the sum, or null if it is zero, which removes the entry from its map. */
+    private static Long sumOrNone(Long first, Long second) {
+        long sum = first + second;
+        return sum == 0 ? null : sum;
+    }
+
     /** The end of a run that waits until a version of its job is stored. */
     private record PendingEnd(long mNumber, Job mJob, long mVersion) {
         boolean stored() {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -78,9 +78,16 @@
             PressureEstimator pressureEstimator) {
         return vms.stream()
                 .filter(vm -> allowed(task, vm, requirement, pressureEstimator))
-                .min(
-                        Comparator.<Vm>comparingDouble(vm -> score(task, vm, pressureEstimator))
-                                .thenComparing(vm -> vm.mAgent.value()));
+                .map(vm -> new ScoredVm(vm, score(task, vm, pressureEstimator)))
+                .min(ScoredVm.ORDER)
+                .map(ScoredVm::vm);
+    }
+
+    /** A VM and its score for a task. */
+    private record ScoredVm(Vm vm, double score) {
+        private static final Comparator<ScoredVm> ORDER =
+                Comparator.comparingDouble(ScoredVm::score)
+                        .thenComparing(scored -> scored.vm().mAgent.value());
     }
 
     /** Returns whether a VM has room for a task and meets its requirements. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -110,6 +110,7 @@
         report.running().forEach(listedRun -> reconcile(vm, listedRun, true));
         report.starting().forEach(listedRun -> reconcile(vm, listedRun, false));
         releaseAbsent(vm, report, sameProcess);
+        vm.updateStarvedFillers();
         vm.mRuns.values().forEach(this::sendProfile);
         addToList(vm);
         mState.mOutput.acknowledgeEnds(vm.mAgent, vm.advanceAcknowledgedEnd());
@@ -130,6 +131,7 @@
         List.copyOf(vm.mRuns.values()).stream()
                 .filter(run -> !listed.contains(run.mTask.mName) && run.mOrderedAt < settledBefore)
                 .forEach(run -> releaseAbsentRun(vm, run));
+        vm.updateStarvedFillers();
         sendChangedRanks(vm);
         mHangDetector.inspect(vm, listed);
     }
@@ -337,10 +339,10 @@
             }
         }
         PressureEstimator.Sample sample = new PressureEstimator.Sample(utilization, use);
-        if (vm.mSample != null) {
-            mState.mPressureEstimator.observe(vm.mSample, sample);
+        if (vm.sample() != null) {
+            mState.mPressureEstimator.observe(vm.sample(), sample);
         }
-        vm.mSample = sample;
+        vm.setSample(sample);
     }
 
     /** Records the progress and the processor use that a worker reports for a run. */
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -87,6 +87,7 @@
     private final Set<String> mUnreadableKeys = new HashSet<>();
 
     private final List<WaitingCall> mWaitingCalls = new ArrayList<>();
+    private final RoundPacer mPacer = new RoundPacer();
     private JobOwner mOwner;
     private RecordWriter mWriter;
     private Runnable mCancelSchedule = () -> {};
@@ -384,7 +385,7 @@
     private void scheduleSoon() {
         if (!mSchedulePending) {
             mSchedulePending = true;
-            mTimers.after(Duration.ofMillis(1), this::schedule);
+            mTimers.after(mPacer.delay(), this::schedule);
         }
     }
 
@@ -394,7 +395,9 @@
         if (isReady()) {
             writeFailed();
             requestTakeover();
+            long startedAtNanos = mClock.monotonicNanos();
             mOwner.schedule();
+            mPacer.roundTook(Duration.ofNanos(mClock.monotonicNanos() - startedAtNanos));
             mWriter.writeChanges();
         }
     }
