Owner: write new jobs first, collect progress, spare wake-ups and buffers

Cause: the owner wrote changed records in the order of acceptance, 14 at a time. With ends in all running jobs between two writes, a new job waited for the writes of all older ones, and its caller and its tasks with it; each end of a step rewrote the record of its job. Each link had a check timer of its own, each message a system call, an 8 KB encoder and a 16 KB decoder buffer, and each start was confirmed by a message of its own.

Evidence: RecordOrderTest on the order before: the new job is not among the 14 that are written.

Change: RecordOrder writes new jobs, then finished ones, then the progress of others, each at most every 150 ms and the longest unwritten first; expired records are removed beside other writes. Links share one check timer and write the messages of one callback together; confirmations of starts wait for the next message. Urgency is kept for 50 ms while a job is unchanged.

Result: the tests of jobs, node and platform pass (77, 140, 93).

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -2,6 +2,7 @@
 
 import java.time.Instant;
 import java.util.List;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.knapweedbank.jobs.JobQueue;
@@ -14,6 +15,12 @@
  * the job. A version counts as stored once the store has acknowledged a record that holds it.
  */
 public final class Job {
+    /**
+     * Time for which an unchanged job keeps its computed urgency, in milliseconds. Only the time
+     * left until its deadline changes meanwhile.
+     */
+    private static final long MAX_URGENCY_AGE_MILLIS = 50;
+
     private final JobSubmission mSubmission;
     private JobQueue mQueue;
     private final Instant mAcceptedAt;
@@ -39,6 +46,15 @@
     /** Urgency at the previous placement, for logging changes; null before the first placement. */
     JobUrgency mPreviousUrgency;
 
+    /** Urgency that was computed last; null before the first time. */
+    private JobUrgency mUrgency;
+
+    /** Version for which the urgency was computed. */
+    private long mUrgencyVersion;
+
+    /** Monotonic time in milliseconds at which the urgency was computed. */
+    private long mUrgencyAt;
+
     /** True if the job was accepted by an earlier owner and loaded from the store. */
     boolean mLoadedFromStore;
 
@@ -51,6 +67,8 @@
     /** Store revision of the stored record. */
     private long mRevision;
 
+    private long mWrittenAt;
+
     /** Monotonic time in milliseconds at which this owner finished or loaded the final job. */
     private long mFinishedAt;
 
@@ -148,6 +166,27 @@
         return mFinalVersion != Long.MAX_VALUE;
     }
 
+    /**
+     * Returns the urgency of the job.
+     *
+     * @param now monotonic time in milliseconds
+     * @param computation computes the urgency if the last one is outdated
+     */
+    JobUrgency urgency(long now, Supplier<JobUrgency> computation) {
+        boolean current = mUrgencyVersion == mVersion && now - mUrgencyAt < MAX_URGENCY_AGE_MILLIS;
+        if (mUrgency == null || !current) {
+            mUrgency = computation.get();
+            mUrgencyVersion = mVersion;
+            mUrgencyAt = now;
+        }
+        return mUrgency;
+    }
+
+    /** Discards the computed urgency after progress that does not change the stored state. */
+    void invalidateUrgency() {
+        mUrgency = null;
+    }
+
     boolean stored() {
         return mStoredVersion > 0;
     }
@@ -174,7 +213,22 @@
         return mFinishedAt;
     }
 
-    void markWritten(long version, long revision) {
+    /** Returns the monotonic time in milliseconds at which a version was last stored or loaded. */
+    long writtenAt() {
+        return mWrittenAt;
+    }
+
+    /**
+     * Records that a record of the job is stored.
+     *
+     * @param version version that the record holds, 0 if it is not known
+     * @param revision store revision of the record
+     * @param now monotonic time in milliseconds
+     */
+    void markWritten(long version, long revision, long now) {
+        if (version > 0) {
+            mWrittenAt = now;
+        }
         mStoredVersion = Math.max(mStoredVersion, version);
         mRevision = revision;
     }
@@ -186,6 +240,7 @@
     void markLoaded(long revision, long now) {
         mStoredVersion = mVersion;
         mRevision = revision;
+        mWrittenAt = now;
         mLoadedFromStore = true;
         if (mCancelled || mFailed || complete()) {
             mFinalVersion = mVersion;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -340,6 +340,21 @@
         return mState.jobs().stream().filter(Job::dirty).limit(limit).toList();
     }
 
+    /**
+     * Returns the jobs whose records have to be written next.
+     *
+     * @param limit maximum number of jobs
+     * @return the jobs, the most urgent first; without those whose progress is still collected
+     */
+    public List<Job> jobsToWrite(int limit) {
+        long now = mState.now();
+        return mState.jobs().stream()
+                .filter(job -> RecordOrder.isDue(job, now))
+                .sorted(RecordOrder.ORDER)
+                .limit(limit)
+                .toList();
+    }
+
     /**
      * Records that a job record is stored.
      *
@@ -348,7 +363,7 @@
      * @param revision store revision of the record
      */
     public void markWritten(Job job, long version, long revision) {
-        job.markWritten(version, revision);
+        job.markWritten(version, revision, mState.now());
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -141,12 +141,15 @@
      * divided by the interference that its image causes for serving tasks.
      */
     double fillerRank(Step step) {
-        double valueDensity =
-                JobUrgency.of(step.mJob, mClock.wallTime(), mRunTimeEstimator).valueDensity();
-        return valueDensity
+        return urgency(step.mJob).valueDensity()
                 / Math.max(MIN_PRESSURE_FACTOR, mPressureEstimator.factor(step.mSpec.image()));
     }
 
+    /** Returns the urgency of a job, which is computed again after a change or a short time. */
+    JobUrgency urgency(Job job) {
+        return job.urgency(now(), () -> JobUrgency.of(job, mClock.wallTime(), mRunTimeEstimator));
+    }
+
     /** Returns whether the store has confirmed the ownership recently enough to act as owner. */
     boolean ownershipConfirmed() {
         return mOwnershipConfirmedAt.ageMillis(mClock) <= mSettings.renewalAuthority().toMillis();
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -62,17 +62,12 @@
         if (!hasUnresolvedVms) {
             mConsolidator.advance(usable);
         }
-        Instant now = mState.mClock.wallTime();
         List<RankedJob> rankedJobs =
                 mState.unfinishedJobs().stream()
                         .filter(Job::stored)
                         .filter(job -> !(job.mLoadedFromStore && hasUnresolvedVms))
                         .filter(job -> hasReadyTasks(job) || mFillerMover.hasStarved(job))
-                        .map(
-                                job ->
-                                        new RankedJob(
-                                                job,
-                                                JobUrgency.of(job, now, mState.mRunTimeEstimator)))
+                        .map(job -> new RankedJob(job, mState.urgency(job)))
                         .sorted(Comparator.comparing(RankedJob::urgency))
                         .toList();
         Map<String, List<Vm>> vmsByService =
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -30,6 +30,9 @@
     /** Minimum relative change of a filler's rank that is sent to its agent. */
     private static final double MIN_RANK_CHANGE = 0.1;
 
+    /** Interval of the search for unreachable VMs, in milliseconds. */
+    private static final long UNREACHABLE_CHECK_MILLIS = 100;
+
     /**
      * Interval at which the unreachable times of VMs are written to the VM list, in milliseconds.
      */
@@ -49,6 +52,9 @@
     /** VMs that earlier owners listed and that have not reported their runs to this owner yet. */
     private final Map<DaemonId, ListedVm> mUnresolvedVms;
 
+    /** Monotonic time in milliseconds of the last search for unreachable VMs. */
+    private long mUnreachableCheckedAt = Long.MIN_VALUE / 2;
+
     /** Monotonic time in milliseconds of the last update of the unreachable times. */
     private long mUnreachableTimesUpdatedAt;
 
@@ -177,6 +183,10 @@
      * last.
      */
     void removeUnreachable() {
+        if (mState.now() - mUnreachableCheckedAt < UNREACHABLE_CHECK_MILLIS) {
+            return;
+        }
+        mUnreachableCheckedAt = mState.now();
         long limit = mState.mSettings.leaseTimeout().toMillis();
         mState.mVms.values().stream()
                 .filter(vm -> vm.mWorker != null && mState.now() - vm.mAuthorityGrantedAt > limit)
@@ -357,6 +367,7 @@
         run.mStarvedReports = starved ? run.mStarvedReports + 1 : 0;
         if (listedRun.percent() != run.mProgressPercent) {
             run.mLastProgressAt = mState.now();
+            run.mTask.mStep.mJob.invalidateUrgency();
         }
         run.mProgressPercent = listedRun.percent();
         run.mCheckpoint = listedRun.checkpoint();
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -402,7 +402,7 @@
         switch (reply) {
             case StartReply.Started ignored -> {
                 run.markStarted(mClock.monotonicMillis());
-                reportOutcome(order, StartOutcome.STARTED, "");
+                reportStarted(order);
                 applyPace();
             }
             case StartReply.Refused refused -> {
@@ -425,7 +425,21 @@
         sendAfterReport(new NodeMessage.Outcome(run.mTask, run.mNumber, outcome));
     }
 
+    /** Reports a start; the owner waits for nothing that depends on it, so it is not urgent. */
+    private void reportStarted(StartOrder order) {
+        logOutcome(order, StartOutcome.STARTED, "");
+        if (mOwner != null && mStateReported) {
+            mOwner.sendLater(
+                    new NodeMessage.Outcome(order.task(), order.run(), StartOutcome.STARTED));
+        }
+    }
+
     private void reportOutcome(StartOrder order, StartOutcome outcome, String reason) {
+        logOutcome(order, outcome, reason);
+        sendAfterReport(new NodeMessage.Outcome(order.task(), order.run(), outcome));
+    }
+
+    private void logOutcome(StartOrder order, StartOutcome outcome, String reason) {
         mLog.record(
                 "task.start",
                 order.task(),
@@ -435,7 +449,6 @@
                 outcome,
                 "reason",
                 reason);
-        sendAfterReport(new NodeMessage.Outcome(order.task(), order.run(), outcome));
     }
 
     private void stopRun(TaskName task, long number) {
--- a/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -1,7 +1,6 @@
 package org.knapweedbank.node.entry;
 
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -30,6 +29,9 @@
 
     private static final Duration RETRY_DELAY = Duration.ofMillis(100);
 
+    /** Minimum time between two searches for jobs whose retention is over. */
+    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofSeconds(1);
+
     /** Entries of a store change that each job record takes: one condition and one put. */
     private static final int ENTRIES_PER_RECORD = 2;
 
@@ -55,6 +57,7 @@
     private boolean mWriteScheduled;
     private boolean mStopped;
     private long mWriteStartedAtMillis = Long.MIN_VALUE / 2;
+    private long mExpiryCheckedAtMillis = Long.MIN_VALUE / 2;
 
     /** Start of the first of the failed writes in a row, -1 if the last write succeeded. */
     private long mFailingSinceMillis = -1;
@@ -135,8 +138,8 @@
     private void write() {
         List<Job> jobs = selectJobs();
         VmList vmList = mOwner.vmList();
-        List<Job> expired = jobs.isEmpty() ? mOwner.expired() : List.of();
-        if (jobs.isEmpty() && !vmList.dirty() && expired.isEmpty()) {
+        List<Job> removedJobs = selectExpired(MAX_JOBS_PER_WRITE - jobs.size());
+        if (jobs.isEmpty() && !vmList.dirty() && removedJobs.isEmpty()) {
             return;
         }
         StoreChange change = new StoreChange().expect(StoreKeys.TERM, mTermRevision);
@@ -150,8 +153,6 @@
         if (vmList.dirty()) {
             change.expect(StoreKeys.VMS, vmList.revision()).put(StoreKeys.VMS, vmList.encode(), 0);
         }
-        List<Job> removedJobs =
-                new ArrayList<>(expired.subList(0, Math.min(MAX_JOBS_PER_WRITE, expired.size())));
         removedJobs.forEach(
                 job ->
                         change.expect(StoreKeys.job(job.id()), job.revision())
@@ -170,7 +171,7 @@
      */
     private List<Job> selectJobs() {
         if (mFailingSinceMillis < 0) {
-            return mOwner.dirtyJobs(MAX_JOBS_PER_WRITE);
+            return mOwner.jobsToWrite(MAX_JOBS_PER_WRITE);
         }
         List<Job> dirtyJobs = mOwner.dirtyJobs(Integer.MAX_VALUE);
         List<Job> candidates =
@@ -181,6 +182,17 @@
         return candidates.isEmpty() ? dirtyJobs.stream().limit(1).toList() : candidates;
     }
 
+    /** Returns expired jobs to remove, as far as the change has room; looks for them rarely. */
+    private List<Job> selectExpired(int limit) {
+        long nowMillis = mClock.monotonicMillis();
+        boolean due = nowMillis - mExpiryCheckedAtMillis >= EXPIRY_CHECK_INTERVAL.toMillis();
+        if (!due || limit == 0 || mFailingSinceMillis >= 0) {
+            return List.of();
+        }
+        mExpiryCheckedAtMillis = nowMillis;
+        return mOwner.expired().stream().limit(limit).toList();
+    }
+
     private void writeFinished(
             Map<Job, Long> versions,
             long vmListVersion,
--- a/node/src/main/java/org/knapweedbank/node/link/Link.java
+++ b/node/src/main/java/org/knapweedbank/node/link/Link.java
@@ -9,6 +9,16 @@
      */
     void send(NodeMessage message);
 
+    /**
+     * Sends a message that is not urgent. It may wait for the next message of the link, which saves
+     * both processes a wake-up, but not longer than for the next keep-alive.
+     *
+     * @param message the message
+     */
+    default void sendLater(NodeMessage message) {
+        send(message);
+    }
+
     /**
      * Closes the link and notifies its listener.
      *
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -55,10 +55,23 @@
     private static final int SUPERSEDED = 19;
     private static final int TAKE_OVER = 20;
 
+    /** Buffer of an encoder in bytes; most messages are smaller, larger ones use several. */
+    private static final int ENCODER_BUFFER_BYTES = 512;
+
+    /**
+     * Buffer of a decoder for strings that are split over two parts of the input, in characters.
+     */
+    private static final int DECODER_BUFFER_CHARS = 64;
+
+    private static final MessagePack.PackerConfig PACKER =
+            new MessagePack.PackerConfig().withBufferSize(ENCODER_BUFFER_BYTES);
+    private static final MessagePack.UnpackerConfig UNPACKER =
+            new MessagePack.UnpackerConfig().withStringDecoderBufferSize(DECODER_BUFFER_CHARS);
+
     private NodeCodec() {}
 
     static byte[] encode(NodeMessage message) {
-        try (MessageBufferPacker out = MessagePack.newDefaultBufferPacker()) {
+        try (MessageBufferPacker out = PACKER.newBufferPacker()) {
             pack(out, message);
             return out.toByteArray();
         } catch (IOException e) {
@@ -67,7 +80,7 @@
     }
 
     static NodeMessage decode(byte[] bytes) throws IOException {
-        try (MessageUnpacker in = MessagePack.newDefaultUnpacker(bytes)) {
+        try (MessageUnpacker in = UNPACKER.newUnpacker(bytes)) {
             return unpack(in);
         } catch (RuntimeException e) {
             throw new IOException("malformed message: " + e.getMessage(), e);
--- a/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
+++ b/node/src/main/java/org/knapweedbank/node/link/SocketLink.java
@@ -19,9 +19,6 @@
     /** Size of the send queue above which the link is closed. */
     private static final int MAX_QUEUED_BYTES = 8 << 20;
 
-    /** Interval of the checks for received data and due keep-alives. */
-    private static final long CHECK_INTERVAL_MILLIS = 300;
-
     /** Time without a sent frame after which an empty frame is sent. */
     private static final long KEEP_ALIVE_MILLIS = 500;
 
@@ -38,8 +35,13 @@
     private final String mRemoteAddress;
     private LinkListener mListener;
     private boolean mClosed;
-    private long mCheckTimerId;
     private long mSentAtMillis;
+
+    /** Messages that wait to be written together; null if there are none. */
+    private Buffer mUnsent;
+
+    private boolean mFlushScheduled;
+
     private long mReceivedAtMillis;
 
     SocketLink(Vertx vertx, NetSocket socket, DecisionLog log) {
@@ -79,23 +81,45 @@
                 });
         mSocket.exceptionHandler(e -> markClosed(String.valueOf(e.getMessage())));
         mSocket.closeHandler(ignored -> markClosed("closed by the peer"));
-        mCheckTimerId = mVertx.setPeriodic(CHECK_INTERVAL_MILLIS, ignored -> checkLiveness());
     }
 
+    /** Sends a message together with the others that are sent in the current callback. */
     @Override
     public void send(NodeMessage message) {
+        sendLater(message);
+        if (!mFlushScheduled && mUnsent != null) {
+            mFlushScheduled = true;
+            mVertx.runOnContext(ignored -> flush());
+        }
+    }
+
+    @Override
+    public void sendLater(NodeMessage message) {
         if (mClosed) {
             return;
         }
         byte[] body = NodeCodec.encode(message);
-        mSentAtMillis = monotonicMillis();
-        mSocket.write(
-                Buffer.buffer(LENGTH_BYTES + body.length).appendInt(body.length).appendBytes(body));
+        if (mUnsent == null) {
+            mUnsent = Buffer.buffer(LENGTH_BYTES + body.length);
+        }
+        mUnsent.appendInt(body.length).appendBytes(body);
+    }
+
+    /** Writes the messages that were sent since the last write with one system call. */
+    private void flush() {
+        Buffer unsent = mUnsent;
+        mUnsent = null;
+        mFlushScheduled = false;
+        if (!mClosed && unsent != null) {
+            mSentAtMillis = monotonicMillis();
+            mSocket.write(unsent);
+        }
     }
 
     @Override
     public void close(String reason) {
         if (!mClosed) {
+            flush();
             mSocket.close();
             markClosed(reason);
         }
@@ -132,7 +156,13 @@
         }
     }
 
-    private void checkLiveness() {
+    boolean isClosed() {
+        return mClosed;
+    }
+
+    /** Writes waiting messages, sends a keep-alive if one is due and closes a silent link. */
+    void checkLiveness() {
+        flush();
         long nowMillis = monotonicMillis();
         if (nowMillis - mReceivedAtMillis > MAX_SILENCE_MILLIS) {
             close("silent for " + (nowMillis - mReceivedAtMillis) + " ms");
@@ -150,7 +180,6 @@
     private void markClosed(String reason) {
         if (!mClosed) {
             mClosed = true;
-            mVertx.cancelTimer(mCheckTimerId);
             mListener.closed(reason);
         }
     }
--- a/node/src/main/java/org/knapweedbank/node/link/VertxLinkTransport.java
+++ b/node/src/main/java/org/knapweedbank/node/link/VertxLinkTransport.java
@@ -5,7 +5,10 @@
 import io.vertx.core.net.NetClientOptions;
 import io.vertx.core.net.NetServerOptions;
 import io.vertx.core.net.NetSocket;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import org.knapweedbank.jobs.DecisionLog;
@@ -15,9 +18,17 @@
 public final class VertxLinkTransport implements LinkTransport {
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
 
+    /**
+     * Interval at which all links are checked for received data and due keep-alives. They share one
+     * timer, since the owner has a link to each agent and a wake-up for each would add up.
+     */
+    private static final long CHECK_INTERVAL_MILLIS = 300;
+
     private final Vertx mVertx;
     private final DecisionLog mLog;
     private final NetClient mClient;
+    private final Set<SocketLink> mOpenLinks = new HashSet<>();
+    private boolean mChecksStarted;
 
     /**
      * Creates the transport. All callbacks run on the event loop of the caller.
@@ -68,5 +79,15 @@
     private void open(NetSocket socket, Function<Link, LinkListener> listenerFactory) {
         SocketLink link = new SocketLink(mVertx, socket, mLog);
         link.open(listenerFactory.apply(link));
+        mOpenLinks.add(link);
+        if (!mChecksStarted) {
+            mChecksStarted = true;
+            mVertx.setPeriodic(CHECK_INTERVAL_MILLIS, ignored -> checkLinks());
+        }
+    }
+
+    private void checkLinks() {
+        List.copyOf(mOpenLinks).forEach(SocketLink::checkLiveness);
+        mOpenLinks.removeIf(SocketLink::isClosed);
     }
 }
