Owner: rate the VMs once for a step instead of once for each task

Cause: each waiting task of a step rated all VMs again, although a start changes only one of them; the work of a round grew with starts times VMs.

Change: VmCandidates keeps the rated VMs of a step in a queue and rates a VM again after a start on it. Tasks that avoid or prefer a VM and serving tasks are still selected one by one.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -203,16 +203,28 @@
      */
     private void placeStep(Step step, List<Vm> vms) {
         FillerRequirement fillerRequirement = fillerRequirement(step.mJob, vms);
+        VmCandidates candidates = null;
         for (Task task : step.mTasks) {
             if (!task.waiting() || mState.now() < task.mEarliestStartAt) {
                 continue;
             }
+            boolean interchangeable = VmCandidates.isInterchangeable(task);
+            if (interchangeable && candidates == null) {
+                candidates =
+                        new VmCandidates(task, vms, fillerRequirement, mState.mPressureEstimator);
+            }
             Optional<Vm> vm =
-                    VmSelector.select(task, vms, fillerRequirement, mState.mPressureEstimator);
+                    interchangeable
+                            ? candidates.best()
+                            : VmSelector.select(
+                                    task, vms, fillerRequirement, mState.mPressureEstimator);
             if (vm.isEmpty()) {
                 return;
             }
             mRunTracker.start(task, vm.get());
+            if (candidates != null) {
+                candidates.update(task, vm.get());
+            }
             if (fillerRequirement == FillerRequirement.MINIMAL_SPEED) {
                 return;
             }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -77,17 +77,17 @@
             FillerRequirement requirement,
             PressureEstimator pressureEstimator) {
         return vms.stream()
-                .filter(vm -> allowed(task, vm, requirement, pressureEstimator))
-                .map(vm -> new ScoredVm(vm, score(task, vm, pressureEstimator)))
-                .min(ScoredVm.ORDER)
+                .flatMap(vm -> rate(task, vm, requirement, pressureEstimator).stream())
+                .min(Comparator.naturalOrder())
                 .map(ScoredVm::vm);
     }
 
-    /** A VM and its score for a task. */
-    private record ScoredVm(Vm vm, double score) {
-        private static final Comparator<ScoredVm> ORDER =
-                Comparator.comparingDouble(ScoredVm::score)
-                        .thenComparing(scored -> scored.vm().mAgent.value());
+    /** Returns the VM with its score for a task; empty if it may not take the task. */
+    static Optional<ScoredVm> rate(
+            Task task, Vm vm, FillerRequirement requirement, PressureEstimator pressureEstimator) {
+        return allowed(task, vm, requirement, pressureEstimator)
+                ? Optional.of(new ScoredVm(vm, score(task, vm, pressureEstimator)))
+                : Optional.empty();
     }
 
     /** Returns whether a VM has room for a task and meets its requirements. */
