Takeover: a VM that still runs a task of a finished job gets no tasks

A new owner took the first task of the job for the step that stands in for them, which reserves nothing, and gave the VM more than its capacity while the run was being stopped.

Evidence: TakeoverTest.vmWithRunOfFinishedJobGetsNoTasksUntilTheRunHasEnded, without the change: eight tasks of another job start on the full VM.

Change: a job without its tasks has none to be found, so that the run counts as unwanted: it is stopped, and the VM gets no orders until the worker lists its end.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -46,6 +46,11 @@
     /** Urgency at the previous placement, for logging changes; null before the first placement. */
     JobUrgency mPreviousUrgency;
 
+    /**
+     * True if the job was loaded from the record of a finished job, which does not hold its tasks.
+     */
+    boolean mWithoutTasks;
+
     /** Urgency that was computed last; null before the first time. */
     private JobUrgency mUrgency;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobRecords.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobRecords.java
@@ -131,6 +131,7 @@
         job.mCancelled = cancelled;
         job.mFailed = failed;
         job.mStarted = true;
+        job.mWithoutTasks = true;
         job.tasks().forEach(Task::markDone);
         return job;
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -108,10 +108,15 @@
         return Collections.unmodifiableCollection(mUnfinishedJobs);
     }
 
-    /** Returns a task; null if the job is unknown or has no such task. */
+    /**
+     * Returns a task; null if the job is unknown, has no such task or was loaded without its tasks.
+     */
     Task findTask(TaskName name) {
         Job job = findJob(name.job());
-        if (job == null || name.occurrence() < 0 || name.occurrence() >= job.mOccurrences.size()) {
+        if (job == null
+                || job.mWithoutTasks
+                || name.occurrence() < 0
+                || name.occurrence() >= job.mOccurrences.size()) {
             return null;
         }
         Occurrence occurrence = job.mOccurrences.get(name.occurrence());
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -96,6 +96,26 @@
         assertThat(newOwner.mStarts).isEmpty();
     }
 
+    /**
+     * Guards against a VM that is given more than its capacity, because a run of a cancelled job is
+     * still being stopped there and the record of the job no longer tells what it reserves.
+     */
+    @Test
+    void vmWithRunOfFinishedJobGetsNoTasksUntilTheRunHasEnded() throws IOException {
+        OwnerFixture.Order order = startOneTask();
+        mEarlierOwner.mOwner.cancel(order.mTask().job());
+        mEarlierOwner.storeAndSchedule();
+        OwnerFixture newOwner = mEarlierOwner.createSuccessor();
+        reportRun(newOwner, "vm", order);
+        newOwner.submit("b", OwnerFixture.step(8, 1_000, StepTraits.BATCH));
+        newOwner.storeAndSchedule();
+        assertThat(newOwner.mStarts).isEmpty();
+        assertThat(newOwner.mStops).isNotEmpty();
+        newOwner.reportEnd(order, EndKind.STOPPED, "");
+        newOwner.storeAndSchedule();
+        assertThat(newOwner.mStarts).hasSize(8);
+    }
+
     /** Guards against waiting forever for a VM that no longer exists. */
     @Test
     void earlierTaskStartsOnceEarlierLeasesHaveExpired() throws IOException {
