One piece of code for the age of a permission, lease expiry and starved fillers

Found by reading the whole change again; behaviour stays as it is.

- Timestamp moves to org.knapweedbank.time and replaces the pair of clock readings that LeaseAuthority compared in the same way.
- VmTracker computes the expiry of earlier leases in one place, for a listed VM and for an unreadable list.
- Vm.starvedFillers leaves out runs that have ended; its two callers filtered them each, and one asked again whether a run is a filler.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
@@ -71,16 +71,14 @@
         }
     }
 
-    /** Returns whether a run is a starved filler that loses little work by a move. */
+    /** Returns whether a starved filler loses little work by a move. */
     private static boolean shouldMove(Run run) {
         Task task = run.mTask;
         var traits = task.mStep.mSpec.traits();
-        return traits.filler()
-                && traits.checkpointing()
+        return traits.checkpointing()
                 && run.mStarvedReports >= MIN_STARVED_REPORTS
                 && run.mProgressPercent < NEARLY_DONE_PERCENT
                 && task.mMoves < MAX_MOVES
-                && task.mRun == run
                 && !run.mStopping
                 && !task.mDone;
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -26,6 +26,7 @@
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Owns all jobs during one term: accepts jobs, places their tasks, tracks each run until it ends
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -16,6 +16,7 @@
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /** State that the components of the job owner share. */
 final class OwnerState {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
@@ -120,7 +120,6 @@
                 mState.mVms.values().stream()
                         .filter(vm -> vm.mWorker != null && serviceOf(vm).equals(service))
                         .flatMap(vm -> vm.starvedFillers().stream())
-                        .filter(run -> run.mTask.mRun == run)
                         .mapToLong(run -> run.mTask.mStep.mSpec.perTask().milliCpu())
                         .sum();
         long waiting =
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -87,7 +87,7 @@
     private final Map<String, Long> mFillerMilliCpuByImage = new HashMap<>();
 
     /** Number of runs of each step. */
-    private final Map<Step, Integer> mRunsByStep = new HashMap<>();
+    private final Map<Step, Long> mRunsByStep = new HashMap<>();
 
     /**
      * Processor time that serving tasks reserve but do not use, in thousandths of a core; negative
@@ -178,9 +178,9 @@
                                 .orElse(0);
     }
 
-    /** Returns the fillers that were starved in the last list of the runs on the VM. */
+    /** Returns the running fillers that were starved in the last list of the runs on the VM. */
     List<Run> starvedFillers() {
-        return mStarvedFillers;
+        return mStarvedFillers.stream().filter(run -> run.mTask.mRun == run).toList();
     }
 
     /** Collects the fillers that are starved, after the runs have been updated from a list. */
@@ -253,8 +253,8 @@
     }
 
     /** Returns the number of runs on the VM that belong to a step. */
-    int countRuns(Step step) {
-        return mRunsByStep.getOrDefault(step, 0);
+    long countRuns(Step step) {
+        return mRunsByStep.getOrDefault(step, 0L);
     }
 
     /**
@@ -285,7 +285,7 @@
     private void updateTotals(Run run, int sign) {
         Step step = run.mTask.mStep;
         StepSpec spec = step.mSpec;
-        mRunsByStep.merge(step, sign, Vm::sumOrNone);
+        mRunsByStep.merge(step, (long) sign, Vm::sumOrNone);
         mReserved =
                 sign > 0 ? mReserved.plus(spec.reservation()) : mReserved.minus(spec.reservation());
         if (spec.traits().filler()) {
@@ -299,12 +299,6 @@
         }
     }
 
-    /** Returns the sum, or null if it is zero, which removes the entry from its map. */
-    private static Integer sumOrNone(Integer first, Integer second) {
-        int sum = first + second;
-        return sum == 0 ? null : sum;
-    }
-
     /** Returns the sum, or null if it is zero, which removes the entry from its map. */
     private static Long sumOrNone(Long first, Long second) {
         long sum = first + second;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -76,19 +76,22 @@
      * has not reported yet.
      */
     boolean hasUnresolvedVms() {
-        return mVmList.isUnreadable() && !earlierLeasesExpired()
+        return mVmList.isUnreadable() && !leasesExpired(Duration.ZERO)
                 || mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
     }
 
-    /** Returns whether all leases that earlier owners have allowed have expired by now. */
-    private boolean earlierLeasesExpired() {
-        long sinceTakeoverMillis = mState.now() - mState.mTakenOverAt;
-        return sinceTakeoverMillis >= mState.mSettings.earlierLeaseTimeout().toMillis();
-    }
-
     /** Returns whether the leases of all runs on an unreachable VM have expired. */
     private boolean leasesExpired(ListedVm vm) {
-        return unreachableFor(vm).compareTo(mState.mSettings.earlierLeaseTimeout()) >= 0;
+        return leasesExpired(vm.unreachableFor());
+    }
+
+    /**
+     * Returns whether the leases that earlier owners allowed have expired on a VM that had been
+     * unreachable for the given time at the takeover.
+     */
+    private boolean leasesExpired(Duration unreachableBefore) {
+        return unreachableFor(unreachableBefore).compareTo(mState.mSettings.earlierLeaseTimeout())
+                >= 0;
     }
 
     /**
@@ -96,7 +99,11 @@
      * does not count.
      */
     private Duration unreachableFor(ListedVm vm) {
-        return vm.unreachableFor().plusMillis(mState.now() - mState.mTakenOverAt);
+        return unreachableFor(vm.unreachableFor());
+    }
+
+    private Duration unreachableFor(Duration unreachableBefore) {
+        return unreachableBefore.plusMillis(mState.now() - mState.mTakenOverAt);
     }
 
     /** Handles the full state of a VM and aligns the tracked runs with it. */
--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Tracks until when the agent may extend the worker's lease, and whether an order is recent enough.
@@ -51,12 +52,7 @@
     /** Records a new request to the owner and returns its number. */
     long nextRequest() {
         mLastNumber++;
-        mRequests.add(
-                new Request(
-                        mLastNumber,
-                        mWorkerClockMillis,
-                        mClock.monotonicMillis(),
-                        mClock.wallTime().toEpochMilli()));
+        mRequests.add(new Request(mLastNumber, mWorkerClockMillis, Timestamp.now(mClock)));
         if (mRequests.size() > MAX_REMEMBERED_REQUESTS) {
             mRequests.poll();
         }
@@ -84,16 +80,9 @@
      * them may stand still while the VM is suspended.
      */
     boolean isRecent(long number, Duration maxAge) {
-        long monotonicMillis = mClock.monotonicMillis();
-        long wallMillis = mClock.wallTime().toEpochMilli();
         return mRequests.stream()
                 .filter(request -> request.mNumber == number)
-                .anyMatch(
-                        request ->
-                                Math.max(
-                                                monotonicMillis - request.mSentAtMillis,
-                                                wallMillis - request.mSentAtWallMillis)
-                                        <= maxAge.toMillis());
+                .anyMatch(request -> request.mSentAt.ageMillis(mClock) <= maxAge.toMillis());
     }
 
     /**
@@ -113,6 +102,5 @@
         return Duration.ofMillis(mClock.monotonicMillis() - mReadAtMillis);
     }
 
-    private record Request(
-            long mNumber, long mWorkerClockMillis, long mSentAtMillis, long mSentAtWallMillis) {}
+    private record Request(long mNumber, long mWorkerClockMillis, Timestamp mSentAt) {}
 }
