--- a/review/2/SameIdRestart.java
+++ b/review/2/SameIdRestart.java
@@ -15,7 +15,7 @@
     private static final long RESTART_MILLIS = 500;
 
     public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !args[0].equals("0");
         Record record = new Record(Path.of("review/2/record.txt"));
         int exitCode = 2;
         try (Deployment deployment = new Deployment(record)) {
--- a/review/5/ForeignReport.java
+++ b/review/5/ForeignReport.java
@@ -20,7 +20,7 @@
     private static final long MAX_IDLE_MILLIS = 3_000;
 
     public static void main(String[] args) throws Exception {
-        boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+        boolean trouble = !args[0].equals("0");
         Record record = new Record(Path.of("review/5/record.txt"));
         int exitCode = 2;
         try (Deployment deployment = new Deployment(record)) {
