Grant an agent authority only for the worker that it reaches

Callers saw accepted jobs stay "running" with nothing running for them: a worker was lost for good and the agent beside it started again.

Cause: the new agent process knows no worker, but pings the owner, and the owner granted each ping of a VM that it knew from the former process. It never regarded the VM as unreachable and kept its runs.

Change: a ping names the worker whose leases a grant would extend, and is granted only if that is the known worker of the VM. The leases of the former worker then expire by the owner's own clock.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -316,10 +316,11 @@
      * records the time of the answer.
      *
      * @param agent the agent
+     * @param worker worker whose leases are meant
      * @return true if the answer has to be sent now
      */
-    public boolean grantAuthority(DaemonId agent) {
-        return mVmTracker.grantAuthority(agent);
+    public boolean grantAuthority(DaemonId agent, WorkerId worker) {
+        return mVmTracker.grantAuthority(agent, worker);
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -174,11 +174,16 @@
 
     /**
      * Returns whether the agent may be answered. If so, records the time of the answer, which gives
-     * the agent authority over leases for a limited time.
+     * the agent authority over the leases of the given worker for a limited time. An agent that
+     * controls another worker, or none, can't renew the leases of the VM's known worker, which then
+     * expire.
      */
-    boolean grantAuthority(DaemonId agent) {
+    boolean grantAuthority(DaemonId agent, WorkerId worker) {
         Vm vm = mState.mVms.get(agent);
-        if (vm == null || !mState.ownershipConfirmed() || mVmList.mayBeStoredUnreachable(agent)) {
+        if (vm == null || !vm.hasWorker(worker)) {
+            return false;
+        }
+        if (!mState.ownershipConfirmed() || mVmList.mayBeStoredUnreachable(agent)) {
             return false;
         }
         vm.mAuthorityGrantedAt = mState.now();
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
@@ -14,6 +14,7 @@
 import org.knapweedbank.jobs.JobState;
 import org.knapweedbank.jobs.StartOutcome;
 import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.WorkerInfo;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.time.Clock;
 
@@ -216,9 +217,9 @@
     void agentIsNotAnsweredWithoutConfirmedOwnership() {
         mFixture.addVm("vm", 8_000);
         mFixture.mClock.advance(OwnerFixture.SETTINGS.renewalAuthority().plusMillis(1));
-        assertThat(mFixture.mOwner.grantAuthority(new DaemonId("vm"))).isFalse();
+        assertThat(mFixture.answerAgent("vm")).isFalse();
         mFixture.mOwner.confirmOwnership();
-        assertThat(mFixture.mOwner.grantAuthority(new DaemonId("vm"))).isTrue();
+        assertThat(mFixture.answerAgent("vm")).isTrue();
     }
 
     /** Guards against a second run while the first may still be active on an unreachable VM. */
@@ -308,20 +309,16 @@
                         1,
                         new VmList());
         DaemonId vm = new DaemonId("vm");
+        WorkerInfo worker = OwnerFixture.worker("vm", 1, 8_000, false);
         AgentReport report =
-                new AgentReport(
-                        Optional.of(OwnerFixture.worker("vm", 1, 8_000, false)),
-                        true,
-                        List.of(),
-                        List.of(),
-                        List.of());
+                new AgentReport(Optional.of(worker), true, List.of(), List.of(), List.of());
         owner.handleReport(vm, OwnerFixture.DATA_CENTRE, report, true);
-        assertThat(owner.grantAuthority(vm)).isTrue();
+        assertThat(owner.grantAuthority(vm, worker.id())).isTrue();
         clock.mSuspended = Duration.ofSeconds(20);
         assertThat(owner.ownershipConfirmed()).isFalse();
-        assertThat(owner.grantAuthority(vm)).isFalse();
+        assertThat(owner.grantAuthority(vm, worker.id())).isFalse();
         owner.confirmOwnership();
-        assertThat(owner.grantAuthority(vm)).isTrue();
+        assertThat(owner.grantAuthority(vm, worker.id())).isTrue();
     }
 
     /** Clock of a VM whose monotonic time does not count the time for which it was suspended. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -67,6 +67,9 @@
     /** Number of ended runs that were reported, by VM. */
     private final Map<String, Long> mEndCounts = new HashMap<>();
 
+    /** Worker in the last report of each VM. */
+    private final Map<String, WorkerId> mReportedWorkers = new HashMap<>();
+
     private final Map<JobId, byte[]> mRecords = new HashMap<>();
     private final long mTerm;
     private byte[] mListRecord = {};
@@ -200,6 +203,7 @@
             List<RunStatus> running,
             List<EndedRun> ended,
             boolean sameProcess) {
+        mReportedWorkers.put(vm, worker.id());
         mOwner.handleReport(
                 new DaemonId(vm),
                 DATA_CENTRE,
@@ -209,8 +213,8 @@
     }
 
     /** Lets the owner answer the agent of a VM, which keeps its leases valid. */
-    void answerAgent(String vm) {
-        mOwner.grantAuthority(new DaemonId(vm));
+    boolean answerAgent(String vm) {
+        return mOwner.grantAuthority(new DaemonId(vm), mReportedWorkers.get(vm));
     }
 
     /**
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -162,9 +162,9 @@
         second.advanceTime(Duration.ofSeconds(5), "other");
         second.storeAndSchedule();
         reportRun(second, "vm", order);
-        assertThat(second.mOwner.grantAuthority(new DaemonId("vm"))).isFalse();
+        assertThat(second.answerAgent("vm")).isFalse();
         second.storeAndSchedule();
-        assertThat(second.mOwner.grantAuthority(new DaemonId("vm"))).isTrue();
+        assertThat(second.answerAgent("vm")).isTrue();
         OwnerFixture third = second.createSuccessor();
         third.addVm("other", 8_000);
         Duration leaseTimeout = OwnerFixture.SETTINGS.earlierLeaseTimeout();
@@ -181,7 +181,7 @@
         newOwner.advanceTime(Duration.ofSeconds(2), "other");
         newOwner.storeAndSchedule();
         reportRun(newOwner, "vm", order);
-        assertThat(newOwner.mOwner.grantAuthority(new DaemonId("vm"))).isTrue();
+        assertThat(newOwner.answerAgent("vm")).isTrue();
     }
 
     /** Guards against new jobs that wait for the VMs of the earlier owner. */
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -592,10 +592,20 @@
 
     private void sendPing() {
         if (mOwner != null) {
-            mOwner.send(new NodeMessage.Ping(mAuthority.nextRequest()));
+            mOwner.send(new NodeMessage.Ping(mAuthority.nextRequest(), leasedWorker()));
         }
     }
 
+    /**
+     * Returns the worker whose lease a grant of the owner can extend. An owner that granted pings
+     * for a worker which this process has never reached would keep its runs forever.
+     */
+    private Optional<WorkerId> leasedWorker() {
+        return mWorker != null && !mWorkerLost && mAuthority.hasReading()
+                ? Optional.of(mWorker.id())
+                : Optional.empty();
+    }
+
     /** Sends a message that follows up on the full report; drops it before that report is sent. */
     private void sendAfterReport(NodeMessage message) {
         if (mOwner != null && mStateReported) {
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -458,7 +458,7 @@
                 return;
             }
             switch (message) {
-                case NodeMessage.Ping ping -> handlePing(ping.number());
+                case NodeMessage.Ping ping -> handlePing(ping);
                 case NodeMessage.Report report -> handleReport(report);
                 case NodeMessage.Progress progress ->
                         mOwner.handleProgress(
@@ -497,10 +497,14 @@
             }
         }
 
-        private void handlePing(long number) {
-            mLatestPing = number;
-            if (mOwner.grantAuthority(mHello.agent())) {
-                mLink.send(new NodeMessage.Pong(number));
+        private void handlePing(NodeMessage.Ping ping) {
+            mLatestPing = ping.number();
+            ping.worker().ifPresent(this::answerLatestPing);
+        }
+
+        private void answerLatestPing(WorkerId worker) {
+            if (mOwner.grantAuthority(mHello.agent(), worker)) {
+                mLink.send(new NodeMessage.Pong(mLatestPing));
             }
         }
 
@@ -510,8 +514,8 @@
             mWorker = message.report().worker().map(WorkerInfo::id).orElse(null);
             mHighestStoredEnd = 0;
             mOwner.handleReport(mHello.agent(), mHello.dataCentre(), message.report(), sameProcess);
-            if (mOwner.grantAuthority(mHello.agent())) {
-                mLink.send(new NodeMessage.Pong(mLatestPing));
+            if (mWorker != null) {
+                answerLatestPing(mWorker);
             }
             scheduleSoon();
         }
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -101,7 +101,8 @@
             case NodeMessage.Superseded m ->
                     out.packInt(SUPERSEDED).packLong(m.term()).packString(m.ownerAddress());
             case NodeMessage.TakeOver m -> out.packInt(TAKE_OVER).packLong(m.term());
-            case NodeMessage.Ping m -> out.packInt(PING).packLong(m.number());
+            case NodeMessage.Ping m ->
+                    packOptionalWorker(out.packInt(PING).packLong(m.number()), m.worker());
             case NodeMessage.Pong m -> out.packInt(PONG).packLong(m.number());
             case NodeMessage.Report m -> packReport(out.packInt(REPORT), m.report());
             case NodeMessage.Progress m -> {
@@ -151,7 +152,7 @@
             case REDIRECT -> new NodeMessage.Redirect(in.unpackString());
             case SUPERSEDED -> new NodeMessage.Superseded(in.unpackLong(), in.unpackString());
             case TAKE_OVER -> new NodeMessage.TakeOver(in.unpackLong());
-            case PING -> new NodeMessage.Ping(in.unpackLong());
+            case PING -> new NodeMessage.Ping(in.unpackLong(), unpackOptionalWorker(in));
             case PONG -> new NodeMessage.Pong(in.unpackLong());
             case REPORT -> new NodeMessage.Report(unpackReport(in));
             case PROGRESS -> new NodeMessage.Progress(unpackWorker(in), unpackRunning(in));
@@ -191,6 +192,18 @@
         return new WorkerId(in.unpackString(), in.unpackLong());
     }
 
+    private static void packOptionalWorker(MessagePacker out, Optional<WorkerId> worker)
+            throws IOException {
+        out.packBoolean(worker.isPresent());
+        if (worker.isPresent()) {
+            packWorker(out, worker.get());
+        }
+    }
+
+    private static Optional<WorkerId> unpackOptionalWorker(MessageUnpacker in) throws IOException {
+        return in.unpackBoolean() ? Optional.of(unpackWorker(in)) : Optional.empty();
+    }
+
     private static void packInfo(MessagePacker out, WorkerInfo info) throws IOException {
         packWorker(out, info.id());
         out.packString(info.service());
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.node.link;
 
 import java.util.List;
+import java.util.Optional;
 import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.RunProfile;
@@ -52,8 +53,9 @@
      * Request of an agent for authority to extend the leases on its VM.
      *
      * @param number number of the request
+     * @param worker worker whose leases are meant; empty while the agent has none that answers it
      */
-    record Ping(long number) implements NodeMessage {}
+    record Ping(long number, Optional<WorkerId> worker) implements NodeMessage {}
 
     /**
      * Grant of a lease request by the owner.
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -133,7 +133,8 @@
             switch (message) {
                 case NodeMessage.Ping ping -> {
                     mPermit = ping.number();
-                    if (mOwner.grantAuthority(mId)) {
+                    if (ping.worker().isPresent()
+                            && mOwner.grantAuthority(mId, ping.worker().get())) {
                         mSession.received(new NodeMessage.Pong(ping.number()));
                     }
                 }
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -0,0 +1,179 @@
+package org.knapweedbank.node.entry;
+
+import java.time.Duration;
+import java.util.OptionalLong;
+import java.util.function.Supplier;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.DataCentreId;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.agent.AgentSession;
+import org.knapweedbank.node.agent.AgentSettings;
+import org.knapweedbank.node.agent.StatusReport;
+import org.knapweedbank.node.link.Link;
+import org.knapweedbank.node.link.LinkListener;
+import org.knapweedbank.node.link.NodeMessage;
+import org.knapweedbank.time.ManualClock;
+
+/** VM with a worker and an agent that is linked to the current owner, both of which can fail. */
+final class VmFixture {
+    private static final Duration STATUS_INTERVAL = Duration.ofMillis(1_500);
+    private static final Duration LINK_DELAY = Duration.ofMillis(1);
+    private static final AgentSettings SETTINGS =
+            new AgentSettings(
+                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(2),
+                    Duration.ofMillis(1_500),
+                    Duration.ofMillis(500));
+
+    private final String mName;
+    private final ManualTimers mTimers;
+    private final ManualClock mClock;
+    private final Supplier<OwnershipTerm> mOwnership;
+    private AgentSession mSession;
+    private LinkPair mLink;
+    private Runnable mCancelReports = () -> {};
+    private long mReportCount;
+
+    final WorkerStandIn mWorker;
+
+    VmFixture(
+            String name,
+            ManualTimers timers,
+            ManualClock clock,
+            RunHistory history,
+            Supplier<OwnershipTerm> ownership) {
+        mName = name;
+        mTimers = timers;
+        mClock = clock;
+        mOwnership = ownership;
+        mWorker = new WorkerStandIn(timers, clock, history);
+    }
+
+    /** Starts the worker under an identifier; its first status report comes after a delay. */
+    void startWorker(String id, Duration firstReportDelay) {
+        mWorker.start(id);
+        mCancelReports.run();
+        Runnable[] cancelPeriodic = {() -> {}};
+        Runnable cancelFirst =
+                mTimers.after(
+                        firstReportDelay,
+                        () -> {
+                            sendStatusReport();
+                            cancelPeriodic[0] =
+                                    mTimers.every(STATUS_INTERVAL, this::sendStatusReport);
+                        });
+        mCancelReports =
+                () -> {
+                    cancelFirst.run();
+                    cancelPeriodic[0].run();
+                };
+    }
+
+    private void sendStatusReport() {
+        if (mWorker.up()) {
+            receiveStatusReport(mWorker.info());
+        }
+    }
+
+    /** Delivers a status report to the agent, whoever sent it. */
+    void receiveStatusReport(WorkerInfo worker) {
+        if (mSession != null) {
+            mSession.workerReported(new StatusReport(worker, ++mReportCount));
+        }
+    }
+
+    /** Ends the worker after it has announced that it leaves. */
+    void leaveWorker() {
+        mSession.workerLeft(
+                mWorker.info().id().id(), OptionalLong.of(mWorker.info().id().incarnation()));
+        mWorker.crash();
+    }
+
+    /** Starts an agent process that connects to the owner. */
+    void startAgent() {
+        mSession = new AgentSession(SETTINGS, mClock, mTimers, mWorker, DecisionLog.NONE);
+        connect(mClock.wallTime().toEpochMilli());
+    }
+
+    /** Ends the agent process without a notice. */
+    void killAgent() {
+        mLink.cut();
+        mSession.disconnected();
+        mSession = null;
+    }
+
+    /** Replaces the link to the owner by a new one. */
+    void reconnect() {
+        long processStartMillis = mLink.mProcessStartMillis;
+        mLink.cut();
+        mSession.disconnected();
+        connect(processStartMillis);
+    }
+
+    private void connect(long processStartMillis) {
+        mLink = new LinkPair(mSession, mOwnership.get(), processStartMillis);
+        mLink.open();
+    }
+
+    /** The two ends of the link between an agent and the owner. */
+    private final class LinkPair {
+        private final AgentSession mAgent;
+        private final OwnershipTerm mOwner;
+        private final long mProcessStartMillis;
+        private LinkListener mOwnerListener;
+        private boolean mCut;
+
+        LinkPair(AgentSession agent, OwnershipTerm owner, long processStartMillis) {
+            mAgent = agent;
+            mOwner = owner;
+            mProcessStartMillis = processStartMillis;
+        }
+
+        void open() {
+            NodeMessage.AgentHello hello =
+                    new NodeMessage.AgentHello(
+                            new DaemonId(mName), mProcessStartMillis, new DataCentreId("dc"));
+            mOwnerListener = mOwner.acceptAgent(end(this::deliverToAgent), hello);
+        }
+
+        void cut() {
+            mCut = true;
+            mOwnerListener.closed("cut");
+        }
+
+        private void deliverToAgent(NodeMessage message) {
+            if (message instanceof NodeMessage.Welcome welcome) {
+                mAgent.connected(end(toOwner -> mOwnerListener.received(toOwner)), welcome.term());
+            } else {
+                mAgent.received(message);
+            }
+        }
+
+        private Link end(java.util.function.Consumer<NodeMessage> receiver) {
+            return new Link() {
+                @Override
+                public void send(NodeMessage message) {
+                    mTimers.after(
+                            LINK_DELAY,
+                            () -> {
+                                if (!mCut) {
+                                    receiver.accept(message);
+                                }
+                            });
+                }
+
+                @Override
+                public void close(String reason) {
+                    mCut = true;
+                }
+
+                @Override
+                public String remoteAddress() {
+                    return mName;
+                }
+            };
+        }
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -0,0 +1,139 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.JobQueue;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.owner.JobOwner;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.CallRequest;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.store.StoreChange;
+import org.knapweedbank.time.ManualClock;
+
+/** Tests what becomes of the tasks of a worker that ends, with real agents and a real owner. */
+class WorkerLossTest {
+    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
+    private static final Duration LEASE = Duration.ofSeconds(6);
+    private static final Duration OBJECTIVE = Duration.ofSeconds(1);
+    private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
+    private static final int TASKS = 6;
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final FakeStore mStore = new FakeStore(mTimers);
+    private final RunHistory mHistory = new RunHistory();
+    private final List<VmFixture> mVms = List.of(newVm("vm-0"), newVm("vm-1"));
+    private OwnershipTerm mOwnership;
+
+    private VmFixture newVm(String name) {
+        return new VmFixture(name, mTimers, mClock, mHistory, () -> mOwnership);
+    }
+
+    @BeforeEach
+    void startVms() {
+        mTimers.advance(Duration.ofSeconds(10));
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'1'}, 0));
+        startOwner(1);
+        mVms.forEach(VmFixture::startAgent);
+        mVms.get(0).startWorker("w-0", Duration.ZERO);
+        mVms.get(1).startWorker("w-1", Duration.ZERO);
+        mTimers.advance(Duration.ofSeconds(2));
+    }
+
+    private void startOwner(long term) {
+        OwnerSettings owner =
+                new OwnerSettings(
+                        LEASE,
+                        Duration.ofSeconds(6),
+                        Duration.ofMillis(1_500),
+                        Duration.ofSeconds(3),
+                        Duration.ofSeconds(4),
+                        Duration.ofSeconds(150),
+                        1);
+        EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner);
+        mOwnership =
+                new OwnershipTerm(
+                        settings,
+                        mClock,
+                        mTimers,
+                        mStore,
+                        DecisionLog.NONE,
+                        term,
+                        mStore.item(StoreKeys.TERM).revision(),
+                        () -> {});
+        mOwnership.load(this::confirmPeriodically);
+        mTimers.advance(Duration.ofMillis(100));
+    }
+
+    private void confirmPeriodically(JobOwner owner) {
+        owner.configure(List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, OBJECTIVE, OBJECTIVE)));
+        owner.markViewCurrent();
+        mTimers.every(
+                CONFIRM_INTERVAL,
+                () -> {
+                    owner.confirmOwnership();
+                    owner.markViewCurrent();
+                });
+    }
+
+    private void submit(String id) {
+        StepSpec step =
+                new StepSpec(
+                        TASKS,
+                        new Resources(480, 960, 0),
+                        OBJECTIVE,
+                        List.of(),
+                        StepTraits.BATCH,
+                        PlacementRule.ANYWHERE,
+                        "",
+                        Duration.ZERO,
+                        -1);
+        JobSubmission job = new JobSubmission(new JobId(id), "", List.of(step), Timetable.ONCE);
+        mOwnership.call(new CallRequest.Submit(QUEUE, job), answer -> {});
+    }
+
+    private List<TaskName> tasks(String job) {
+        return IntStream.range(0, TASKS).mapToObj(i -> TaskName.parse(job + ".0.0." + i)).toList();
+    }
+
+    /** Starts a job and returns the VM with most of its tasks. */
+    private VmFixture startJob() {
+        submit("a");
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+        boolean first = mVms.get(0).mWorker.runningCount() > mVms.get(1).mWorker.runningCount();
+        return mVms.get(first ? 0 : 1);
+    }
+
+    /**
+     * Guards against tasks that are never started again, because the agent of a worker that is lost
+     * for good starts again and its new process does not know the worker.
+     */
+    @Test
+    void tasksOfLostWorkerStartAgainAfterItsAgentRestarted() {
+        VmFixture busy = startJob();
+        busy.mWorker.crash();
+        mTimers.advance(Duration.ofMillis(500));
+        busy.killAgent();
+        mTimers.advance(Duration.ofSeconds(1));
+        busy.startAgent();
+        mTimers.advance(Duration.ofSeconds(8));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -0,0 +1,212 @@
+package org.knapweedbank.node.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedRun;
+import org.knapweedbank.jobs.RunStatus;
+import org.knapweedbank.jobs.StartOrder;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.agent.LeaseRenewalReply;
+import org.knapweedbank.node.agent.LeaseRenewalRequest;
+import org.knapweedbank.node.agent.StartReply;
+import org.knapweedbank.node.agent.WorkerClient;
+import org.knapweedbank.time.ManualClock;
+
+/**
+ * Worker that runs tasks under leases in virtual time and can crash and start again. Each
+ * incarnation starts empty, with its own clock and its own numbers of ends.
+ */
+final class WorkerStandIn implements WorkerClient {
+    private static final Duration STEP = Duration.ofMillis(10);
+
+    private final ManualTimers mTimers;
+    private final ManualClock mClock;
+    private final RunHistory mHistory;
+    private final Map<TaskName, Run> mRuns = new HashMap<>();
+    private final List<EndedRun> mEnds = new ArrayList<>();
+    private String mId = "";
+    private long mIncarnation;
+    private long mStartedAtMillis;
+    private long mLeaseEndMillis;
+    private long mLastEndNumber;
+    private Renewal mWaitingRenewal;
+    private boolean mUp;
+
+    /** Time that each task takes. */
+    Duration mTaskDuration = Duration.ofSeconds(12);
+
+    /** Maximum number of ends in a reply. */
+    int mMaxListedEnds = 500;
+
+    WorkerStandIn(ManualTimers timers, ManualClock clock, RunHistory history) {
+        mTimers = timers;
+        mClock = clock;
+        mHistory = history;
+        timers.every(STEP, this::advance);
+    }
+
+    private record Run(long mNumber, long mEndsAtMillis) {}
+
+    private record Renewal(LeaseRenewalRequest mRequest, Consumer<LeaseRenewalReply> mDone) {}
+
+    /** Starts a new incarnation under the given identifier. */
+    void start(String id) {
+        mId = id;
+        mIncarnation = mClock.wallTime().toEpochMilli();
+        mStartedAtMillis = mClock.monotonicMillis();
+        mLeaseEndMillis = 0;
+        mLastEndNumber = 0;
+        mUp = true;
+    }
+
+    /** Ends the incarnation without a notice. */
+    void crash() {
+        mUp = false;
+        mRuns.keySet().forEach(mHistory::ended);
+        mRuns.clear();
+        mEnds.clear();
+        if (mWaitingRenewal != null) {
+            Consumer<LeaseRenewalReply> done = mWaitingRenewal.mDone();
+            mWaitingRenewal = null;
+            done.accept(new LeaseRenewalReply.NoAnswer("connection closed"));
+        }
+    }
+
+    boolean up() {
+        return mUp;
+    }
+
+    int runningCount() {
+        return mRuns.size();
+    }
+
+    WorkerInfo info() {
+        return new WorkerInfo(
+                new WorkerId(mId, mIncarnation),
+                "svc",
+                new Resources(32_000, 100_000, 0),
+                List.of("a", "r"),
+                "r",
+                false);
+    }
+
+    private long clockMillis() {
+        return 1_000 + mClock.monotonicMillis() - mStartedAtMillis;
+    }
+
+    private void advance() {
+        if (!mUp) {
+            return;
+        }
+        boolean lapsed = clockMillis() > mLeaseEndMillis;
+        List.copyOf(mRuns.keySet()).stream()
+                .filter(task -> lapsed || mRuns.get(task).mEndsAtMillis() <= clockMillis())
+                .forEach(task -> end(task, lapsed ? EndKind.LAPSED : EndKind.DONE));
+        if (mWaitingRenewal != null && !mEnds.isEmpty()) {
+            answer(mWaitingRenewal);
+        }
+    }
+
+    private void end(TaskName task, EndKind kind) {
+        Run run = mRuns.remove(task);
+        mEnds.add(new EndedRun(++mLastEndNumber, task, run.mNumber(), kind, ""));
+        mHistory.ended(task);
+        if (kind == EndKind.DONE) {
+            mHistory.done(task);
+        }
+    }
+
+    private boolean isCalled(WorkerId worker) {
+        return mUp && worker.id().equals(mId);
+    }
+
+    @Override
+    public void start(
+            WorkerId worker,
+            StartOrder order,
+            long deadlineMillis,
+            long term,
+            Consumer<StartReply> done) {
+        if (!isCalled(worker)) {
+            StartReply.Cause cause =
+                    mUp ? StartReply.Cause.OTHER_WORKER : StartReply.Cause.UNHEALTHY;
+            done.accept(new StartReply.Refused(cause));
+            return;
+        }
+        mLeaseEndMillis = Math.max(mLeaseEndMillis, deadlineMillis);
+        mHistory.started(order.task());
+        mRuns.put(order.task(), new Run(order.run(), clockMillis() + mTaskDuration.toMillis()));
+        done.accept(new StartReply.Started(clockMillis()));
+    }
+
+    @Override
+    public void stop(WorkerId worker, TaskName task, long run, long term, Consumer<Boolean> done) {
+        boolean running = isCalled(worker) && mRuns.containsKey(task);
+        if (running && mRuns.get(task).mNumber() == run) {
+            end(task, EndKind.STOPPED);
+        }
+        done.accept(mUp);
+    }
+
+    @Override
+    public void renewLease(LeaseRenewalRequest request, Consumer<LeaseRenewalReply> done) {
+        if (!mUp) {
+            done.accept(new LeaseRenewalReply.NoAnswer("connection refused"));
+            return;
+        }
+        if (!isCalled(request.worker())) {
+            done.accept(new LeaseRenewalReply.OtherWorker());
+            return;
+        }
+        mEnds.removeIf(end -> end.number() <= request.acknowledgedEnd());
+        request.leaseEndMillis().ifPresent(end -> mLeaseEndMillis = Math.max(mLeaseEndMillis, end));
+        Renewal renewal = new Renewal(request, done);
+        if (request.maxWait().isZero()) {
+            answer(renewal);
+        } else {
+            mWaitingRenewal = renewal;
+            mTimers.after(
+                    mEnds.isEmpty() ? request.maxWait() : STEP,
+                    () -> {
+                        if (mWaitingRenewal == renewal) {
+                            answer(renewal);
+                        }
+                    });
+        }
+    }
+
+    private void answer(Renewal renewal) {
+        if (mWaitingRenewal == renewal) {
+            mWaitingRenewal = null;
+        }
+        List<RunStatus> running =
+                mRuns.entrySet().stream()
+                        .map(e -> new RunStatus(e.getKey(), e.getValue().mNumber(), "", 1, 0))
+                        .toList();
+        List<EndedRun> ended = mEnds.stream().limit(mMaxListedEnds).toList();
+        renewal.mDone()
+                .accept(
+                        new LeaseRenewalReply.Renewed(
+                                clockMillis(), mIncarnation, running, ended, true));
+    }
+
+    @Override
+    public void pace(
+            WorkerId worker,
+            TaskName task,
+            long run,
+            int percent,
+            long term,
+            Consumer<Boolean> done) {
+        done.accept(mUp);
+    }
+}
--- a/node/src/test/java/org/knapweedbank/node/link/VertxLinkTransportTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/VertxLinkTransportTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import io.vertx.core.Vertx;
+import java.util.Optional;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -77,7 +78,7 @@
         transport.connect(
                 "127.0.0.1:" + port,
                 link -> {
-                    link.send(new NodeMessage.Ping(1));
+                    link.send(new NodeMessage.Ping(1, Optional.empty()));
                     return new FailingListener(new LinkedBlockingQueue<>());
                 },
                 cause -> mVertx.setTimer(50, ignored -> connectAndSend(transport, port)));
