Acknowledge no end of a restarted worker before its lists are reported

Callers saw batch tasks run twice: a worker crashed and started again under its identifier, and tasks that its new incarnation had completed ran again on another worker.

Cause: until the first status report of the new incarnation the agent ignored its lists, passed on start orders, and acknowledged ends up to the number that the former incarnation had reached. The new one numbers its ends from 1, so it discarded them unread.

Change: an answer of a later incarnation counts as the restart. The agent takes its lists, starts nothing until the status report names the new attributes, and then reports the lists. A renewal that follows an unanswered one acknowledges nothing. The owner's acknowledgement of stored ends names the worker, so that one on its way can't be applied to the new incarnation. Outcomes of start orders are sent before the first report too; dropped ones kept the room of refused starts occupied.

--- a/jobs/src/main/java/org/knapweedbank/jobs/WorkerInfo.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/WorkerInfo.java
@@ -24,4 +24,14 @@
     public WorkerInfo {
         labels = List.copyOf(labels);
     }
+
+    /**
+     * Returns the same attributes for another incarnation.
+     *
+     * @param newId identity of the other incarnation
+     * @return the attributes
+     */
+    public WorkerInfo withId(WorkerId newId) {
+        return new WorkerInfo(newId, service, capacity, labels, rack, draining);
+    }
 }
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -68,6 +68,15 @@
 
     private boolean mWorkerLost;
 
+    /** True if the incarnation in {@link #mWorker} has answered the last lease renewal. */
+    private boolean mWorkerAnswers;
+
+    /**
+     * False while the attributes of the worker are those of an earlier incarnation, until the first
+     * status report of the present one.
+     */
+    private boolean mAttributesKnown;
+
     /** Identifies the current series of lease renewals; replies to earlier series continue none. */
     private int mPollId;
 
@@ -121,7 +130,11 @@
             mReportSequence = report.sequence();
             boolean changed = !mWorker.equals(info);
             mWorker = info;
-            if (changed) {
+            if (!mAttributesKnown) {
+                mAttributesKnown = true;
+                mLog.record("worker.joined", info.id(), "service", info.service());
+                restartPolling();
+            } else if (changed) {
                 mLog.record("worker.update", info.id(), "draining", info.draining());
                 sendAfterReport(new NodeMessage.WorkerUpdate(info));
             }
@@ -132,8 +145,8 @@
             return;
         }
         mLog.record("worker.joined", info.id(), "service", info.service());
-        forgetWorker();
-        mWorker = info;
+        replaceWorker(info);
+        mAttributesKnown = true;
         mReportSequence = report.sequence();
         restartPolling();
     }
@@ -195,20 +208,46 @@
             case NodeMessage.Start start -> handleStart(start);
             case NodeMessage.Stop stop -> stopRun(stop.task(), stop.run());
             case NodeMessage.Describe describe -> handleDescribe(describe);
-            case NodeMessage.EndsStored stored -> handleEndsStored(stored.number());
+            case NodeMessage.EndsStored stored -> handleEndsStored(stored);
             default -> mLog.record("agent.unexpected", message.getClass().getSimpleName());
         }
     }
 
     private void forgetWorker() {
-        mWorker = null;
+        replaceWorker(null);
+    }
+
+    /** Sets another incarnation of the worker and discards all state of the previous one. */
+    private void replaceWorker(WorkerInfo worker) {
+        boolean sameId =
+                worker != null && mWorker != null && mWorker.id().id().equals(worker.id().id());
+        if (sameId) {
+            mRuns.clearListed();
+        } else {
+            mRuns.clear();
+        }
+        mWorker = worker;
         mStateReported = false;
         mWorkerLost = false;
+        mWorkerAnswers = false;
         mPollId++;
-        mRuns.clear();
         mAuthority.reset();
     }
 
+    /**
+     * Changes to an incarnation that answers under the identifier of the known one, which has ended
+     * with all its runs. Nothing is started on it and none of its ends is acknowledged until its
+     * status report names its attributes and its lists have been reported to the owner.
+     */
+    private void handleRestart(long incarnation) {
+        WorkerId restarted = new WorkerId(mWorker.id().id(), incarnation);
+        mLog.record("worker.restarted", restarted, "previous", mWorker.id().incarnation());
+        replaceWorker(mWorker.withId(restarted));
+        mAttributesKnown = false;
+        mReportSequence = Long.MIN_VALUE;
+        restartPolling();
+    }
+
     /** Starts a new series of lease renewals with one that the worker answers at once. */
     private void restartPolling() {
         mPollId++;
@@ -228,9 +267,11 @@
                         ? OptionalLong.of(leaseEndMillis)
                         : OptionalLong.empty();
         WorkerId worker = mWorker.id();
+        // The worker may have started again since it last answered. A new incarnation would discard
+        // ends that nobody has read, as it numbers them from 1 again.
+        long acknowledgedEnd = mWorkerAnswers ? mRuns.highestAcknowledged() : 0;
         LeaseRenewalRequest request =
-                new LeaseRenewalRequest(
-                        worker, mTerm, mRuns.highestAcknowledged(), newLeaseEndMillis, maxWait);
+                new LeaseRenewalRequest(worker, mTerm, acknowledgedEnd, newLeaseEndMillis, maxWait);
         mWorkerClient.renewLease(
                 request, reply -> handleRenewalReply(pollId, worker, mTerm, sentAtMillis, reply));
     }
@@ -240,10 +281,17 @@
         if (mWorker == null || !mWorker.id().equals(worker)) {
             return;
         }
+        if (reply instanceof LeaseRenewalReply.Renewed renewed
+                && renewed.incarnation() > worker.incarnation()) {
+            handleRestart(renewed.incarnation());
+            return;
+        }
+        mWorkerAnswers =
+                reply instanceof LeaseRenewalReply.Renewed renewed
+                        && renewed.incarnation() == worker.incarnation();
         switch (reply) {
             case LeaseRenewalReply.Renewed renewed -> {
-                if (renewed.incarnation() == worker.incarnation()
-                        && mAuthority.updateWorkerClock(renewed.workerClockMillis())) {
+                if (mWorkerAnswers && mAuthority.updateWorkerClock(renewed.workerClockMillis())) {
                     applyRunListsSafely(renewed, term, sentAtMillis);
                 }
                 pollAfter(
@@ -314,7 +362,7 @@
             mStateReported = false;
         }
         if (!mStateReported) {
-            if (renewed.complete() && term == mTerm && mOwner != null) {
+            if (renewed.complete() && mAttributesKnown && term == mTerm && mOwner != null) {
                 reportState();
             }
         } else if (!newEnds.isEmpty()) {
@@ -339,6 +387,9 @@
      * Reports unanswered start orders as not started once the worker can no longer carry them out.
      */
     private void expireUnansweredStarts(long workerClockMillis) {
+        mRuns.runs().stream()
+                .filter(run -> run.mDeadlineMillis == RunTable.UNKNOWN_DEADLINE)
+                .forEach(run -> run.mDeadlineMillis = startDeadlineMillis(workerClockMillis));
         mRuns.runs().stream()
                 .filter(
                         run ->
@@ -366,7 +417,7 @@
         long deadlineMillis =
                 Math.min(
                         mAuthority.leaseEndMillis(),
-                        mAuthority.workerClockMillis() + mSettings.startTimeout().toMillis());
+                        startDeadlineMillis(mAuthority.workerClockMillis()));
         Run run = mRuns.addOrdered(order, deadlineMillis, mClock.monotonicMillis());
         mWorkerClient.start(
                 mWorker.id(),
@@ -376,11 +427,19 @@
                 reply -> handleStartReply(order, run, reply));
     }
 
+    /** Returns the time on the worker's clock until which it may carry out an order sent now. */
+    private long startDeadlineMillis(long workerClockMillis) {
+        return workerClockMillis + mSettings.startTimeout().toMillis();
+    }
+
     /** Returns why a start order must not be passed on, or null if it may be. */
     private String refusalReason(NodeMessage.Start message) {
         if (mWorker == null || !mWorker.id().equals(message.worker())) {
             return "the order is for another worker";
         }
+        if (!mAttributesKnown) {
+            return "the worker has restarted and not reported its attributes";
+        }
         if (mWorker.draining()) {
             return "the worker is draining";
         }
@@ -422,7 +481,7 @@
     private void reportNotStarted(Run run, StartOutcome outcome, String reason) {
         mRuns.remove(run);
         mLog.record("task.not_started", run.mTask, "run", run.mNumber, "reason", reason);
-        sendAfterReport(new NodeMessage.Outcome(run.mTask, run.mNumber, outcome));
+        sendToOwner(new NodeMessage.Outcome(run.mTask, run.mNumber, outcome));
     }
 
     /** Reports a start; the owner waits for nothing that depends on it, so it is not urgent. */
@@ -436,7 +495,7 @@
 
     private void reportOutcome(StartOrder order, StartOutcome outcome, String reason) {
         logOutcome(order, outcome, reason);
-        sendAfterReport(new NodeMessage.Outcome(order.task(), order.run(), outcome));
+        sendToOwner(new NodeMessage.Outcome(order.task(), order.run(), outcome));
     }
 
     private void logOutcome(StartOrder order, StartOutcome outcome, String reason) {
@@ -470,8 +529,11 @@
         }
     }
 
-    private void handleEndsStored(long number) {
-        mRuns.acknowledge(number);
+    private void handleEndsStored(NodeMessage.EndsStored stored) {
+        if (mWorker == null || !mWorker.id().equals(stored.worker())) {
+            return;
+        }
+        mRuns.acknowledge(stored.number());
         if (mPollingPaused && mRuns.unacknowledged().isEmpty()) {
             mResumePolling.run();
         }
@@ -608,7 +670,13 @@
 
     /** Sends a message that follows up on the full report; drops it before that report is sent. */
     private void sendAfterReport(NodeMessage message) {
-        if (mOwner != null && mStateReported) {
+        if (mStateReported) {
+            sendToOwner(message);
+        }
+    }
+
+    private void sendToOwner(NodeMessage message) {
+        if (mOwner != null) {
             mOwner.send(message);
         }
     }
--- a/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
@@ -16,6 +16,9 @@
 
 /** Table of the runs on the agent's worker and of their ends. */
 final class RunTable {
+    /** Deadline of a start order that was set on the clock of an earlier incarnation. */
+    static final long UNKNOWN_DEADLINE = Long.MAX_VALUE;
+
     private final Map<TaskName, Run> mRuns = new HashMap<>();
     private final TreeMap<Long, EndedRun> mUnacknowledgedEnds = new TreeMap<>();
 
@@ -27,6 +30,20 @@
 
     void clear() {
         mRuns.clear();
+        clearEnds();
+    }
+
+    /**
+     * Discards what the worker has listed, after it has started again under its identifier. Start
+     * orders without an outcome are kept, as the new incarnation may still carry them out.
+     */
+    void clearListed() {
+        mRuns.values().removeIf(run -> run.mStarted);
+        mRuns.values().forEach(run -> run.mDeadlineMillis = UNKNOWN_DEADLINE);
+        clearEnds();
+    }
+
+    private void clearEnds() {
         mUnacknowledgedEnds.clear();
         mHighestAcknowledged = 0;
         mHighestReported = 0;
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -240,9 +240,9 @@
     @Override
     public void acknowledgeEnds(DaemonId agent, long number) {
         AgentLink link = mAgentLinks.get(agent);
-        if (link != null && number > link.mHighestStoredEnd) {
+        if (link != null && link.mWorker != null && number > link.mHighestStoredEnd) {
             link.mHighestStoredEnd = number;
-            link.mLink.send(new NodeMessage.EndsStored(number));
+            link.mLink.send(new NodeMessage.EndsStored(link.mWorker, number));
         }
     }
 
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -131,7 +131,10 @@
                 packTask(out.packInt(DESCRIBE), m.task()).packLong(m.run());
                 packProfile(out, m.profile());
             }
-            case NodeMessage.EndsStored m -> out.packInt(ENDS_STORED).packLong(m.number());
+            case NodeMessage.EndsStored m -> {
+                packWorker(out.packInt(ENDS_STORED), m.worker());
+                out.packLong(m.number());
+            }
             case NodeMessage.Call m ->
                     packCall(out.packInt(CALL).packLong(m.number()), m.request());
             case NodeMessage.Reply m ->
@@ -166,7 +169,7 @@
             case STOP -> new NodeMessage.Stop(unpackTask(in), in.unpackLong());
             case DESCRIBE ->
                     new NodeMessage.Describe(unpackTask(in), in.unpackLong(), unpackProfile(in));
-            case ENDS_STORED -> new NodeMessage.EndsStored(in.unpackLong());
+            case ENDS_STORED -> new NodeMessage.EndsStored(unpackWorker(in), in.unpackLong());
             case CALL -> new NodeMessage.Call(in.unpackLong(), unpackCall(in));
             case REPLY -> new NodeMessage.Reply(in.unpackLong(), unpackAnswer(in));
             default -> throw new IOException("unknown message type " + type);
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -142,9 +142,10 @@
     /**
      * Acknowledgement that ends are stored.
      *
+     * @param worker worker that listed the ends; each incarnation numbers its ends from 1
      * @param number number up to which all ends are stored
      */
-    record EndsStored(long number) implements NodeMessage {}
+    record EndsStored(WorkerId worker, long number) implements NodeMessage {}
 
     /**
      * Request of a caller that an entry forwards to the owner.
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -281,11 +281,24 @@
         advanceMillis(1_000);
         assertThat(mOwner.messagesOf(NodeMessage.Ends.class)).hasSize(1);
         assertThat(mWorker.mRenewals.getLast().acknowledgedEnd()).isEqualTo(0);
-        mSession.received(new NodeMessage.EndsStored(1));
+        mSession.received(new NodeMessage.EndsStored(new WorkerId("w", 1), 1));
         advanceMillis(500);
         assertThat(mWorker.mRenewals.getLast().acknowledgedEnd()).isEqualTo(1);
     }
 
+    /**
+     * Guards against ends of a restarted worker that are acknowledged unread, because an
+     * acknowledgement for its earlier incarnation was on its way.
+     */
+    @Test
+    void acknowledgementForEarlierIncarnationIsIgnored() {
+        mWorker.mIncarnation = 2;
+        report(info(2, false));
+        mSession.received(new NodeMessage.EndsStored(new WorkerId("w", 1), 9));
+        advanceMillis(1_000);
+        assertThat(mWorker.mRenewals.getLast().acknowledgedEnd()).isEqualTo(0);
+    }
+
     /** Guards against tasks that stay assigned to an unresponsive worker. */
     @Test
     void silentWorkerIsReportedLostAfterItsLease() {
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -257,6 +257,7 @@
 
     @Override
     public void acknowledgeEnds(DaemonId agent, long number) {
-        mNodes.get(agent).mSession.received(new NodeMessage.EndsStored(number));
+        Node node = mNodes.get(agent);
+        node.mSession.received(new NodeMessage.EndsStored(node.mInfo.id(), number));
     }
 }
--- a/node/src/test/java/org/knapweedbank/node/entry/RunHistory.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RunHistory.java
@@ -9,7 +9,7 @@
 /** Starts and ends of tasks on all workers of a test, and the tasks that ran twice. */
 final class RunHistory {
     private final Set<TaskName> mRunning = new HashSet<>();
-    private final Map<TaskName, Integer> mStarts = new HashMap<>();
+    private final Map<String, Integer> mDoneOn = new HashMap<>();
 
     /** Tasks that have run to completion. */
     final Set<TaskName> mDone = new HashSet<>();
@@ -21,19 +21,20 @@
         if (!mRunning.add(task) || mDone.contains(task)) {
             mRepeated.add(task);
         }
-        mStarts.merge(task, 1, Integer::sum);
     }
 
     void ended(TaskName task) {
         mRunning.remove(task);
     }
 
-    void done(TaskName task) {
+    void done(TaskName task, String worker) {
+        mDoneOn.merge(worker, 1, Integer::sum);
         mDone.add(task);
     }
 
-    int startsOf(TaskName task) {
-        return mStarts.getOrDefault(task, 0);
+    /** Returns how many tasks have run to completion on a worker. */
+    int doneOn(String worker) {
+        return mDoneOn.getOrDefault(worker, 0);
     }
 
     Set<TaskName> running() {
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -40,6 +40,7 @@
     private final RunHistory mHistory = new RunHistory();
     private final List<VmFixture> mVms = List.of(newVm("vm-0"), newVm("vm-1"));
     private OwnershipTerm mOwnership;
+    private int mSubmittedJobs;
 
     private VmFixture newVm(String name) {
         return new VmFixture(name, mTimers, mClock, mHistory, () -> mOwnership);
@@ -121,6 +122,34 @@
         return mVms.get(first ? 0 : 1);
     }
 
+    /**
+     * Guards against a second run of tasks whose ends on a restarted worker were acknowledged
+     * unread, because its agent took it for the earlier incarnation of the same identifier.
+     */
+    @Test
+    void tasksThatEndedOnRestartedWorkerDoNotRunAgain() {
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofMillis(300));
+        submitJobsFor(Duration.ofSeconds(10));
+        boolean first = mHistory.doneOn("w-0") > mHistory.doneOn("w-1");
+        VmFixture busy = mVms.get(first ? 0 : 1);
+        String id = busy.mWorker.info().id().id();
+        busy.mWorker.crash();
+        submitJobsFor(Duration.ofMillis(500));
+        busy.startWorker(id, Duration.ofMillis(1_500));
+        submitJobsFor(Duration.ofSeconds(5));
+        mTimers.advance(Duration.ofSeconds(15));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
+    }
+
+    private void submitJobsFor(Duration duration) {
+        Duration interval = Duration.ofMillis(250);
+        for (long i = 0; i < duration.dividedBy(interval); i++) {
+            submit("job" + mSubmittedJobs++);
+            mTimers.advance(interval);
+        }
+    }
+
     /**
      * Guards against tasks that are never started again, because the agent of a worker that is lost
      * for good starts again and its new process does not know the worker.
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -121,7 +121,7 @@
         mEnds.add(new EndedRun(++mLastEndNumber, task, run.mNumber(), kind, ""));
         mHistory.ended(task);
         if (kind == EndKind.DONE) {
-            mHistory.done(task);
+            mHistory.done(task, mId);
         }
     }
 
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -86,7 +86,7 @@
                 new NodeMessage.Start(WORKER, 4, new StartOrder(TASK, 2, "s", "c", profile)),
                 new NodeMessage.Stop(TASK, 2),
                 new NodeMessage.Describe(TASK, 2, profile),
-                new NodeMessage.EndsStored(8),
+                new NodeMessage.EndsStored(WORKER, 8),
                 new NodeMessage.Call(1, new CallRequest.Submit(QUEUE, submission)),
                 new NodeMessage.Call(1, new CallRequest.Read(QUEUE, JOB)),
                 new NodeMessage.Call(1, new CallRequest.Cancel(QUEUE, JOB)),
