Accept an announced worker only after it has answered a call

Callers saw accepted jobs stay "running" with nothing running for them, after another process had sent one status report for the VM of their worker.

Cause: the agent took any well-formed report with a later start for a new incarnation. It forgot the known worker, called an identifier that nobody has, and took the reports of the real worker for outdated ones.

Change: a status report only announces a worker. The agent calls it with a renewal that extends no lease and acknowledges no end, and accepts it when the announced incarnation answers. The answer also serves as the first list, so that a joining worker costs no more calls than before. A report of the known incarnation that names another service is rejected.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -30,6 +30,12 @@
     /** Delay before the next lease renewal after the worker did not answer. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
+    /**
+     * Time after a status report for which a worker that does not answer is called again. Workers
+     * report themselves more often.
+     */
+    private static final Duration MAX_PROBE_TIME = Duration.ofSeconds(3);
+
     /**
      * Maximum delay of the next lease renewal while the owner has not acknowledged all reported
      * ends. Without it the worker, which answers at once while it has ends to report, would list
@@ -51,9 +57,24 @@
     private final RunTable mRuns = new RunTable();
     private final LeaseAuthority mAuthority;
     private final FillerPacer mPacer = new FillerPacer();
-    private final long mStartedAtMillis;
+
+    /** Worker that takes the calls on this VM; null if none has answered yet. */
     private WorkerInfo mWorker;
 
+    /**
+     * Monotonic time in milliseconds since which no call of this process has extended a lease, if
+     * the clock of the worker has not been read.
+     */
+    private long mNoLeaseSinceMillis;
+
+    /** Newest status report of a worker that has not answered a call yet; null if there is none. */
+    private StatusReport mCandidate;
+
+    private long mCandidateReportedAtMillis;
+
+    /** Identifies the current series of calls to the candidate. */
+    private int mProbeId;
+
     /** Sequence number of the newest status report of the worker. */
     private long mReportSequence;
 
@@ -108,12 +129,13 @@
         mWorkerClient = workerClient;
         mLog = log;
         mAuthority = new LeaseAuthority(clock, settings.taskLease());
-        mStartedAtMillis = clock.monotonicMillis();
+        mNoLeaseSinceMillis = clock.monotonicMillis();
         timers.every(TICK_INTERVAL, this::tick);
     }
 
     /**
-     * Handles a status report of the worker.
+     * Handles a status report. A worker that it announces replaces the known one only after it has
+     * answered a call, since the report may be delayed or come from another process.
      *
      * @param report the report
      */
@@ -124,31 +146,103 @@
             return;
         }
         if (mWorker != null && mWorker.id().equals(info.id())) {
-            if (report.sequence() <= mReportSequence) {
-                return;
-            }
-            mReportSequence = report.sequence();
-            boolean changed = !mWorker.equals(info);
-            mWorker = info;
-            if (!mAttributesKnown) {
-                mAttributesKnown = true;
-                mLog.record("worker.joined", info.id(), "service", info.service());
-                restartPolling();
-            } else if (changed) {
-                mLog.record("worker.update", info.id(), "draining", info.draining());
-                sendAfterReport(new NodeMessage.WorkerUpdate(info));
-            }
+            updateWorker(report);
+        } else if (mWorker != null && info.id().incarnation() < mWorker.id().incarnation()) {
+            mLog.record("worker.outdated", info.id(), "present", mWorker.id());
+        } else if (!isOlderThanCandidate(report)) {
+            mCandidate = report;
+            mCandidateReportedAtMillis = mClock.monotonicMillis();
+            probeCandidate();
+        }
+    }
+
+    /** Updates the attributes of the known worker. */
+    private void updateWorker(StatusReport report) {
+        WorkerInfo info = report.worker();
+        if (report.sequence() <= mReportSequence) {
             return;
         }
-        if (mWorker != null && info.id().incarnation() < mWorker.id().incarnation()) {
-            mLog.record("worker.outdated", info.id(), "present", mWorker.id());
+        if (mAttributesKnown && !info.service().equals(mWorker.service())) {
+            mLog.record("worker.rejected", info.id(), "other_service", info.service());
+            return;
+        }
+        mReportSequence = report.sequence();
+        boolean changed = !mWorker.equals(info);
+        mWorker = info;
+        if (!mAttributesKnown) {
+            mAttributesKnown = true;
+            mLog.record("worker.joined", info.id(), "service", info.service());
+            restartPolling();
+        } else if (changed) {
+            mLog.record("worker.update", info.id(), "draining", info.draining());
+            sendAfterReport(new NodeMessage.WorkerUpdate(info));
+        }
+    }
+
+    private boolean isOlderThanCandidate(StatusReport report) {
+        return mCandidate != null
+                && mCandidate.worker().id().equals(report.worker().id())
+                && mCandidate.sequence() >= report.sequence();
+    }
+
+    /**
+     * Calls the candidate, which becomes the worker if it answers. The call extends no lease and
+     * acknowledges no end, so it does not matter which worker carries it out.
+     */
+    private void probeCandidate() {
+        mProbeId++;
+        if (mCandidate == null || mTerm == 0) {
+            return;
+        }
+        int probeId = mProbeId;
+        long term = mTerm;
+        long sentAtMillis = mClock.monotonicMillis();
+        WorkerId worker = mCandidate.worker().id();
+        mWorkerClient.renewLease(
+                new LeaseRenewalRequest(worker, term, 0, OptionalLong.empty(), Duration.ZERO),
+                reply -> handleProbeReply(probeId, worker, term, sentAtMillis, reply));
+    }
+
+    private void handleProbeReply(
+            int probeId, WorkerId worker, long term, long sentAtMillis, LeaseRenewalReply reply) {
+        if (mCandidate == null || !mCandidate.worker().id().equals(worker)) {
             return;
         }
+        switch (reply) {
+            case LeaseRenewalReply.Renewed renewed
+                    when renewed.incarnation() == worker.incarnation() -> {
+                acceptCandidate();
+                handleRenewalReply(mPollId, worker, term, sentAtMillis, renewed);
+            }
+            case LeaseRenewalReply.Renewed other -> rejectCandidate(other.incarnation());
+            case LeaseRenewalReply.OtherWorker ignored -> rejectCandidate("another worker");
+            case LeaseRenewalReply.Fenced ignored -> handleFenced(worker, term);
+            case LeaseRenewalReply.NoAnswer none -> {
+                mLog.record("worker.silent", worker, "cause", none.reason());
+                mTimers.after(RETRY_DELAY, () -> repeatProbe(probeId));
+            }
+        }
+    }
+
+    private void repeatProbe(int probeId) {
+        long waitedMillis = mClock.monotonicMillis() - mCandidateReportedAtMillis;
+        if (probeId == mProbeId && waitedMillis < MAX_PROBE_TIME.toMillis()) {
+            probeCandidate();
+        }
+    }
+
+    private void acceptCandidate() {
+        WorkerInfo info = mCandidate.worker();
         mLog.record("worker.joined", info.id(), "service", info.service());
         replaceWorker(info);
         mAttributesKnown = true;
-        mReportSequence = report.sequence();
-        restartPolling();
+        mReportSequence = mCandidate.sequence();
+        mCandidate = null;
+    }
+
+    private void rejectCandidate(Object answeredBy) {
+        mLog.record("worker.rejected", mCandidate.worker().id(), "calls_answered_by", answeredBy);
+        mCandidate = null;
     }
 
     /**
@@ -158,16 +252,22 @@
      * @param incarnation incarnation in the notice, empty if it names none
      */
     public void workerLeft(String id, OptionalLong incarnation) {
-        if (mWorker != null
-                && mWorker.id().id().equals(id)
-                && incarnation.orElse(mWorker.id().incarnation()) == mWorker.id().incarnation()) {
+        if (mWorker != null && isIncarnation(mWorker.id(), id, incarnation)) {
             mLog.record("worker.left", mWorker.id());
             mLeftWorker = mWorker.id();
             sendAfterReport(new NodeMessage.WorkerLost(mWorker.id(), "the worker has left"));
             forgetWorker();
+        } else if (mCandidate != null && isIncarnation(mCandidate.worker().id(), id, incarnation)) {
+            mLeftWorker = mCandidate.worker().id();
+            mCandidate = null;
         }
     }
 
+    private static boolean isIncarnation(WorkerId worker, String id, OptionalLong incarnation) {
+        return worker.id().equals(id)
+                && incarnation.orElse(worker.incarnation()) == worker.incarnation();
+    }
+
     /**
      * Returns the highest term of an owner whose orders this agent has accepted.
      *
@@ -188,6 +288,7 @@
         mTerm = term;
         mStateReported = false;
         restartPolling();
+        probeCandidate();
         sendPing();
     }
 
@@ -232,6 +333,7 @@
         mWorkerAnswers = false;
         mPollId++;
         mAuthority.reset();
+        mNoLeaseSinceMillis = mClock.monotonicMillis();
     }
 
     /**
@@ -299,10 +401,7 @@
                         renewed.ended().isEmpty() ? Duration.ZERO : MAX_ACKNOWLEDGEMENT_WAIT);
             }
             case LeaseRenewalReply.Fenced ignored -> {
-                mLog.record("worker.fenced", worker, "term", mTerm);
-                if (mOwner != null && term == mTerm) {
-                    mOwner.close("the worker has seen a later term than " + mTerm);
-                }
+                handleFenced(worker, term);
                 pollAfter(pollId, TICK_INTERVAL);
             }
             case LeaseRenewalReply.OtherWorker ignored -> pollAfter(pollId, RETRY_DELAY);
@@ -313,6 +412,13 @@
         }
     }
 
+    private void handleFenced(WorkerId worker, long term) {
+        mLog.record("worker.fenced", worker, "term", mTerm);
+        if (mOwner != null && term == mTerm) {
+            mOwner.close("the worker has seen a later term than " + mTerm);
+        }
+    }
+
     /** Renews the lease after a pause, unless a new series of renewals has been started. */
     private void pollAfter(int pollId, Duration pause) {
         if (pollId != mPollId) {
@@ -639,7 +745,7 @@
     /** Returns whether the lease of a silent worker has ended, and with it all its runs. */
     private boolean leaseExpired() {
         long leaseMillis = mSettings.taskLease().toMillis();
-        long silenceMillis = mClock.monotonicMillis() - mStartedAtMillis;
+        long silenceMillis = mClock.monotonicMillis() - mNoLeaseSinceMillis;
         if (mAuthority.hasReading()) {
             silenceMillis = mAuthority.timeSinceReading().toMillis();
             long remainingMillis =
--- a/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -32,6 +32,7 @@
     private final ManualClock mClock;
     private final Supplier<OwnershipTerm> mOwnership;
     private AgentSession mSession;
+    private ProcessWorkerClient mClient;
     private LinkPair mLink;
     private Runnable mCancelReports = () -> {};
     private long mReportCount;
@@ -93,7 +94,8 @@
 
     /** Starts an agent process that connects to the owner. */
     void startAgent() {
-        mSession = new AgentSession(SETTINGS, mClock, mTimers, mWorker, DecisionLog.NONE);
+        mClient = new ProcessWorkerClient(mWorker);
+        mSession = new AgentSession(SETTINGS, mClock, mTimers, mClient, DecisionLog.NONE);
         connect(mClock.wallTime().toEpochMilli());
     }
 
@@ -102,6 +104,7 @@
         mLink.cut();
         mSession.disconnected();
         mSession = null;
+        mClient.kill();
     }
 
     /** Replaces the link to the owner by a new one. */
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -16,6 +16,8 @@
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
 import org.knapweedbank.model.DaemonId;
@@ -142,6 +144,44 @@
         assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
     }
 
+    /**
+     * Guards against a worker that is given up because another process has announced a later one
+     * for its VM, of a service that no configuration names.
+     */
+    @Test
+    void statusReportOfAnotherProcessDoesNotDisplaceWorker() {
+        VmFixture busy = startJob();
+        busy.receiveStatusReport(foreignWorker("i-9"));
+        mTimers.advance(Duration.ofSeconds(20));
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+        assertThat(mHistory.mRepeated).isEmpty();
+    }
+
+    /**
+     * Guards against a worker that is never used because the first status report that its new agent
+     * receives is that of another process.
+     */
+    @Test
+    void workerIsFoundAfterStatusReportOfAnotherProcess() {
+        VmFixture busy = startJob();
+        busy.killAgent();
+        busy.startAgent();
+        busy.receiveStatusReport(foreignWorker("i-9"));
+        mTimers.advance(Duration.ofSeconds(20));
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+        assertThat(mHistory.mRepeated).isEmpty();
+    }
+
+    private WorkerInfo foreignWorker(String id) {
+        return new WorkerInfo(
+                new WorkerId(id, mClock.wallTime().toEpochMilli()),
+                "unnamed",
+                new Resources(8_000, 16_000, 0),
+                List.of("a", "r"),
+                "r",
+                false);
+    }
+
     private void submitJobsFor(Duration duration) {
         Duration interval = Duration.ofMillis(250);
         for (long i = 0; i < duration.dividedBy(interval); i++) {
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -38,7 +38,7 @@
     private long mStartedAtMillis;
     private long mLeaseEndMillis;
     private long mLastEndNumber;
-    private Renewal mWaitingRenewal;
+    private final List<Renewal> mWaitingRenewals = new ArrayList<>();
     private boolean mUp;
 
     /** Time that each task takes. */
@@ -54,7 +54,7 @@
         timers.every(STEP, this::advance);
     }
 
-    private record Run(long mNumber, long mEndsAtMillis) {}
+    private record Run(long mNumber, long mStartedAtMillis) {}
 
     private record Renewal(LeaseRenewalRequest mRequest, Consumer<LeaseRenewalReply> mDone) {}
 
@@ -74,11 +74,12 @@
         mRuns.keySet().forEach(mHistory::ended);
         mRuns.clear();
         mEnds.clear();
-        if (mWaitingRenewal != null) {
-            Consumer<LeaseRenewalReply> done = mWaitingRenewal.mDone();
-            mWaitingRenewal = null;
-            done.accept(new LeaseRenewalReply.NoAnswer("connection closed"));
-        }
+        List<Renewal> broken = List.copyOf(mWaitingRenewals);
+        mWaitingRenewals.clear();
+        broken.forEach(
+                renewal ->
+                        renewal.mDone()
+                                .accept(new LeaseRenewalReply.NoAnswer("connection closed")));
     }
 
     boolean up() {
@@ -109,10 +110,10 @@
         }
         boolean lapsed = clockMillis() > mLeaseEndMillis;
         List.copyOf(mRuns.keySet()).stream()
-                .filter(task -> lapsed || mRuns.get(task).mEndsAtMillis() <= clockMillis())
+                .filter(task -> lapsed || percent(mRuns.get(task)) >= 100)
                 .forEach(task -> end(task, lapsed ? EndKind.LAPSED : EndKind.DONE));
-        if (mWaitingRenewal != null && !mEnds.isEmpty()) {
-            answer(mWaitingRenewal);
+        if (!mEnds.isEmpty()) {
+            List.copyOf(mWaitingRenewals).forEach(this::answer);
         }
     }
 
@@ -125,6 +126,14 @@
         }
     }
 
+    private int percent(Run run) {
+        return (int) (100 * (clockMillis() - run.mStartedAtMillis()) / mTaskDuration.toMillis());
+    }
+
+    private RunStatus status(TaskName task, Run run) {
+        return new RunStatus(task, run.mNumber(), "", percent(run), 0);
+    }
+
     private boolean isCalled(WorkerId worker) {
         return mUp && worker.id().equals(mId);
     }
@@ -144,7 +153,7 @@
         }
         mLeaseEndMillis = Math.max(mLeaseEndMillis, deadlineMillis);
         mHistory.started(order.task());
-        mRuns.put(order.task(), new Run(order.run(), clockMillis() + mTaskDuration.toMillis()));
+        mRuns.put(order.task(), new Run(order.run(), clockMillis()));
         done.accept(new StartReply.Started(clockMillis()));
     }
 
@@ -173,11 +182,11 @@
         if (request.maxWait().isZero()) {
             answer(renewal);
         } else {
-            mWaitingRenewal = renewal;
+            mWaitingRenewals.add(renewal);
             mTimers.after(
                     mEnds.isEmpty() ? request.maxWait() : STEP,
                     () -> {
-                        if (mWaitingRenewal == renewal) {
+                        if (mWaitingRenewals.contains(renewal)) {
                             answer(renewal);
                         }
                     });
@@ -185,12 +194,10 @@
     }
 
     private void answer(Renewal renewal) {
-        if (mWaitingRenewal == renewal) {
-            mWaitingRenewal = null;
-        }
+        mWaitingRenewals.remove(renewal);
         List<RunStatus> running =
                 mRuns.entrySet().stream()
-                        .map(e -> new RunStatus(e.getKey(), e.getValue().mNumber(), "", 1, 0))
+                        .map(entry -> status(entry.getKey(), entry.getValue()))
                         .toList();
         List<EndedRun> ended = mEnds.stream().limit(mMaxListedEnds).toList();
         renewal.mDone()
