State to each owner that nothing runs on a VM

Callers saw earlier jobs idle for 13.6 s after the owner had changed, though workers were free: one worker was lost for good.

Cause: the agent of the lost worker tells the owner that the worker's lease has ended, but dropped each message before its first report on a link, and a report needs an answer of the worker. The new owner waited for the leases that its predecessor might have allowed.

Four new tests in WorkerLossTest fail on: the case, a worker that leaves while there is no owner, an agent that restarts while the owner changes, and a link that is replaced while the worker is silent.

Change: the notice becomes a state. The agent states it when it becomes true and on each new link while it holds: after the worker has left, after the lease of a silent worker has ended, and when no worker has answered a new agent process for the time of a lease, by when the leases given by its predecessor have ended. The owner then releases the runs of the VM and no longer waits for it, whichever worker the list names.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -292,14 +292,13 @@
     }
 
     /**
-     * Handles the end of a worker, with which all of its runs have ended.
+     * Handles the statement of an agent that nothing runs on its VM.
      *
      * @param agent the agent of the VM
-     * @param worker incarnation of the worker
      * @param reason reason for the decision log
      */
-    public void handleWorkerLost(DaemonId agent, WorkerId worker, String reason) {
-        mVmTracker.handleWorkerLost(agent, worker, reason);
+    public void handleNoWorker(DaemonId agent, String reason) {
+        mVmTracker.handleNoWorker(agent, reason);
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -156,13 +156,14 @@
         }
     }
 
-    void handleWorkerLost(DaemonId agent, WorkerId worker, String reason) {
-        resolveIfWorker(agent, worker);
+    /** Handles the statement of an agent that nothing runs on its VM, whoever started it. */
+    void handleNoWorker(DaemonId agent, String reason) {
+        resolve(agent);
+        mVmList.remove(agent);
         Vm vm = mState.mVms.get(agent);
-        if (vm == null || !vm.hasWorker(worker)) {
-            return;
+        if (vm != null && vm.mWorker != null) {
+            removeWorker(vm, reason);
         }
-        removeWorker(vm, reason);
     }
 
     void handleDisconnect(DaemonId agent) {
@@ -278,17 +279,6 @@
         mVmList.remove(vm.mAgent);
     }
 
-    /**
-     * Stops waiting for the report of a VM of an earlier owner if it was listed with a given
-     * worker.
-     */
-    private void resolveIfWorker(DaemonId agent, WorkerId worker) {
-        ListedVm vm = mUnresolvedVms.get(agent);
-        if (vm != null && vm.worker().equals(worker)) {
-            resolve(agent);
-        }
-    }
-
     /** Stops waiting for the report of a VM of an earlier owner. */
     private void resolve(DaemonId agent) {
         ListedVm vm = mUnresolvedVms.remove(agent);
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -87,7 +87,11 @@
     /** True once the full state has been reported to the connected owner. */
     private boolean mStateReported;
 
-    private boolean mWorkerLost;
+    /**
+     * Reason why nothing runs on the VM; null while the worker holds a lease or one that was given
+     * by an earlier process of the agent may last.
+     */
+    private String mNoWorkerReason;
 
     /** True if the incarnation in {@link #mWorker} has answered the last lease renewal. */
     private boolean mWorkerAnswers;
@@ -255,8 +259,8 @@
         if (mWorker != null && isIncarnation(mWorker.id(), id, incarnation)) {
             mLog.record("worker.left", mWorker.id());
             mLeftWorker = mWorker.id();
-            sendAfterReport(new NodeMessage.WorkerLost(mWorker.id(), "the worker has left"));
-            forgetWorker();
+            replaceWorker(null);
+            stateNoWorker("the worker has left");
         } else if (mCandidate != null && isIncarnation(mCandidate.worker().id(), id, incarnation)) {
             mLeftWorker = mCandidate.worker().id();
             mCandidate = null;
@@ -287,6 +291,9 @@
         mOwner = owner;
         mTerm = term;
         mStateReported = false;
+        if (mNoWorkerReason != null) {
+            sendToOwner(new NodeMessage.NoWorker(mNoWorkerReason));
+        }
         restartPolling();
         probeCandidate();
         sendPing();
@@ -314,11 +321,7 @@
         }
     }
 
-    private void forgetWorker() {
-        replaceWorker(null);
-    }
-
-    /** Sets another incarnation of the worker and discards all state of the previous one. */
+    /** Sets another worker, or none, and discards all state of the previous one. */
     private void replaceWorker(WorkerInfo worker) {
         boolean sameId =
                 worker != null && mWorker != null && mWorker.id().id().equals(worker.id().id());
@@ -329,7 +332,7 @@
         }
         mWorker = worker;
         mStateReported = false;
-        mWorkerLost = false;
+        mNoWorkerReason = null;
         mWorkerAnswers = false;
         mPollId++;
         mAuthority.reset();
@@ -463,8 +466,8 @@
         mRuns.updateRunning(renewed.running(), nowMillis);
         List<EndedRun> newEnds = mRuns.addEnds(renewed.ended());
         expireUnansweredStarts(renewed.workerClockMillis());
-        if (mWorkerLost) {
-            mWorkerLost = false;
+        if (mNoWorkerReason != null) {
+            mNoWorkerReason = null;
             mStateReported = false;
         }
         if (!mStateReported) {
@@ -714,11 +717,11 @@
     private void tick() {
         mTickCount++;
         sendPing();
-        if (mWorker == null) {
-            return;
+        if (mNoWorkerReason == null && leaseExpired()) {
+            handleLeaseExpiry();
         }
         if (mStateReported && mTickCount % 2 == 0) {
-            sendAfterReport(new NodeMessage.Progress(mWorker.id(), mRuns.running()));
+            sendToOwner(new NodeMessage.Progress(mWorker.id(), mRuns.running()));
         }
         long nowMillis = mClock.monotonicMillis();
         mRuns.runs().stream()
@@ -729,25 +732,45 @@
                                                 >= TICK_INTERVAL.toMillis())
                 .toList()
                 .forEach(run -> stopRun(run.mTask, run.mNumber));
-        if (!mWorkerLost && leaseExpired()) {
-            mWorkerLost = true;
-            mLog.record(
-                    "worker.lost",
-                    mWorker.id(),
-                    "silent_ms",
-                    mAuthority.timeSinceReading().toMillis());
-            mRuns.runs().clear();
-            sendAfterReport(
-                    new NodeMessage.WorkerLost(mWorker.id(), "silent until its lease ended"));
-        }
     }
 
-    /** Returns whether the lease of a silent worker has ended, and with it all its runs. */
+    /** Gives up the runs on the VM, as every lease on it has expired. */
+    private void handleLeaseExpiry() {
+        mLog.record(
+                "worker.lost",
+                mWorker == null ? "unknown" : mWorker.id(),
+                "silent_ms",
+                silenceMillis());
+        mRuns.runs().clear();
+        mStateReported = false;
+        stateNoWorker(
+                mWorker == null
+                        ? "no worker has answered for the time of a lease"
+                        : "silent until its lease ended");
+    }
+
+    private void stateNoWorker(String reason) {
+        mNoWorkerReason = reason;
+        sendToOwner(new NodeMessage.NoWorker(reason));
+    }
+
+    /**
+     * Returns the time since the worker's clock was read, or since no lease can have been given.
+     */
+    private long silenceMillis() {
+        return mAuthority.hasReading()
+                ? mAuthority.timeSinceReading().toMillis()
+                : mClock.monotonicMillis() - mNoLeaseSinceMillis;
+    }
+
+    /**
+     * Returns whether every lease on the VM has expired, and with it all runs: that of a silent
+     * worker, and those that an earlier process of the agent may have given.
+     */
     private boolean leaseExpired() {
         long leaseMillis = mSettings.taskLease().toMillis();
-        long silenceMillis = mClock.monotonicMillis() - mNoLeaseSinceMillis;
+        long silenceMillis = silenceMillis();
         if (mAuthority.hasReading()) {
-            silenceMillis = mAuthority.timeSinceReading().toMillis();
             long remainingMillis =
                     mAuthority.leaseEndMillis() - (mAuthority.workerClockMillis() - silenceMillis);
             leaseMillis =
@@ -769,7 +792,7 @@
      * for a worker which this process has never reached would keep its runs forever.
      */
     private Optional<WorkerId> leasedWorker() {
-        return mWorker != null && !mWorkerLost && mAuthority.hasReading()
+        return mWorker != null && mNoWorkerReason == null && mAuthority.hasReading()
                 ? Optional.of(mWorker.id())
                 : Optional.empty();
     }
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -433,6 +433,8 @@
     private final class AgentLink implements LinkListener {
         private final Link mLink;
         private final NodeMessage.AgentHello mHello;
+
+        /** Worker that the agent has reported on this link; null if there is none. */
         private WorkerId mWorker;
 
         /** Number of the agent's newest ping, which start orders carry as their permit. */
@@ -474,8 +476,9 @@
                 }
                 case NodeMessage.WorkerUpdate update ->
                         mOwner.handleWorkerUpdate(mHello.agent(), update.worker());
-                case NodeMessage.WorkerLost lost -> {
-                    mOwner.handleWorkerLost(mHello.agent(), lost.worker(), lost.reason());
+                case NodeMessage.NoWorker statement -> {
+                    mWorker = null;
+                    mOwner.handleNoWorker(mHello.agent(), statement.reason());
                     scheduleSoon();
                 }
                 default ->
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -45,7 +45,7 @@
     private static final int ENDS = 9;
     private static final int OUTCOME = 10;
     private static final int WORKER_UPDATE = 11;
-    private static final int WORKER_LOST = 12;
+    private static final int NO_WORKER = 12;
     private static final int START = 13;
     private static final int STOP = 14;
     private static final int ENDS_STORED = 15;
@@ -118,10 +118,7 @@
                 out.packLong(m.run()).packInt(m.outcome().ordinal());
             }
             case NodeMessage.WorkerUpdate m -> packInfo(out.packInt(WORKER_UPDATE), m.worker());
-            case NodeMessage.WorkerLost m -> {
-                packWorker(out.packInt(WORKER_LOST), m.worker());
-                out.packString(m.reason());
-            }
+            case NodeMessage.NoWorker m -> out.packInt(NO_WORKER).packString(m.reason());
             case NodeMessage.Start m -> {
                 packWorker(out.packInt(START), m.worker());
                 packOrder(out.packLong(m.permit()), m.order());
@@ -164,7 +161,7 @@
                     new NodeMessage.Outcome(
                             unpackTask(in), in.unpackLong(), StartOutcome.values()[in.unpackInt()]);
             case WORKER_UPDATE -> new NodeMessage.WorkerUpdate(unpackInfo(in));
-            case WORKER_LOST -> new NodeMessage.WorkerLost(unpackWorker(in), in.unpackString());
+            case NO_WORKER -> new NodeMessage.NoWorker(in.unpackString());
             case START -> new NodeMessage.Start(unpackWorker(in), in.unpackLong(), unpackOrder(in));
             case STOP -> new NodeMessage.Stop(unpackTask(in), in.unpackLong());
             case DESCRIBE ->
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -104,12 +104,13 @@
     record WorkerUpdate(WorkerInfo worker) implements NodeMessage {}
 
     /**
-     * Loss of a worker and of all its runs.
+     * Statement that nothing runs on the agent's VM, since no worker on it holds a lease. An agent
+     * sends it when it becomes true and on each new link while it holds, as the owner may know of
+     * runs there from another agent process or from an earlier owner.
      *
-     * @param worker the worker
      * @param reason cause for the log
      */
-    record WorkerLost(WorkerId worker, String reason) implements NodeMessage {}
+    record NoWorker(String reason) implements NodeMessage {}
 
     /**
      * Order to start a task.
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -193,7 +193,7 @@
         report(info(2, false));
         mSession.workerLeft("w", OptionalLong.of(1));
         advanceMillis(1_000);
-        assertThat(mOwner.messagesOf(NodeMessage.WorkerLost.class)).isEmpty();
+        assertThat(mOwner.messagesOf(NodeMessage.NoWorker.class)).isEmpty();
         assertThat(mWorker.mRenewals.getLast().worker().incarnation()).isEqualTo(2);
     }
 
@@ -305,9 +305,9 @@
         orderStart(mOwner.mLatestPing, order(1, false));
         mWorker.mSilent = true;
         advanceMillis(5_000);
-        assertThat(mOwner.messagesOf(NodeMessage.WorkerLost.class)).isEmpty();
+        assertThat(mOwner.messagesOf(NodeMessage.NoWorker.class)).isEmpty();
         advanceMillis(2_500);
-        assertThat(mOwner.messagesOf(NodeMessage.WorkerLost.class)).hasSize(1);
+        assertThat(mOwner.messagesOf(NodeMessage.NoWorker.class)).hasSize(1);
         mWorker.mSilent = false;
         mWorker.mRunning.clear();
         advanceMillis(1_000);
--- a/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -107,12 +107,15 @@
         mClient.kill();
     }
 
-    /** Replaces the link to the owner by a new one. */
-    void reconnect() {
-        long processStartMillis = mLink.mProcessStartMillis;
+    /** Ends the link to the owner. */
+    void disconnect() {
         mLink.cut();
         mSession.disconnected();
-        connect(processStartMillis);
+    }
+
+    /** Opens a new link to the current owner. */
+    void reconnect() {
+        connect(mLink.mProcessStartMillis);
     }
 
     private void connect(long processStartMillis) {
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -172,6 +172,71 @@
         assertThat(mHistory.mRepeated).isEmpty();
     }
 
+    /** Starts the owner of the next term after a second in which there is none. */
+    private void changeOwner() {
+        mOwnership.stop();
+        mVms.forEach(VmFixture::disconnect);
+        mTimers.advance(Duration.ofSeconds(1));
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'2'}, 0));
+        startOwner(2);
+        mVms.forEach(VmFixture::reconnect);
+    }
+
+    /**
+     * Guards against a new owner that waits for the leases of its predecessor, because the agent of
+     * a worker that is lost for good does not tell that the worker's lease has ended.
+     */
+    @Test
+    void tasksOfLostWorkerStartAgainSoonAfterTheOwnerChanged() {
+        VmFixture busy = startJob();
+        busy.mWorker.crash();
+        mTimers.advance(Duration.ofMillis(500));
+        changeOwner();
+        mTimers.advance(Duration.ofSeconds(6));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+    }
+
+    /** Guards against a new owner that waits for a worker which left while there was no owner. */
+    @Test
+    void tasksOfWorkerThatLeftStartAgainAtOnceAfterTheOwnerChanged() {
+        VmFixture busy = startJob();
+        mVms.forEach(VmFixture::disconnect);
+        busy.leaveWorker();
+        changeOwner();
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+    }
+
+    /**
+     * Guards against a new owner that waits for the leases of its predecessor, because a new agent
+     * process does not tell that no worker has answered it for the time of a lease.
+     */
+    @Test
+    void tasksOfLostWorkerStartAgainSoonAfterOwnerAndAgentRestarted() {
+        VmFixture busy = startJob();
+        busy.mWorker.crash();
+        busy.killAgent();
+        busy.startAgent();
+        changeOwner();
+        mTimers.advance(Duration.ofSeconds(6));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+    }
+
+    /**
+     * Guards against an owner that keeps the runs of a lost worker for longer than its lease,
+     * because the link was replaced while the worker was silent.
+     */
+    @Test
+    void tasksOfLostWorkerStartAgainAfterItsLinkWasReplaced() {
+        VmFixture busy = startJob();
+        busy.mWorker.crash();
+        mTimers.advance(Duration.ofSeconds(3));
+        busy.disconnect();
+        busy.reconnect();
+        mTimers.advance(Duration.ofSeconds(4));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+    }
+
     private WorkerInfo foreignWorker(String id) {
         return new WorkerInfo(
                 new WorkerId(id, mClock.wallTime().toEpochMilli()),
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -82,7 +82,7 @@
                 new NodeMessage.Ends(WORKER, List.of(ended)),
                 new NodeMessage.Outcome(TASK, 2, StartOutcome.REFUSED),
                 new NodeMessage.WorkerUpdate(info),
-                new NodeMessage.WorkerLost(WORKER, "why"),
+                new NodeMessage.NoWorker("why"),
                 new NodeMessage.Start(WORKER, 4, new StartOrder(TASK, 2, "s", "c", profile)),
                 new NodeMessage.Stop(TASK, 2),
                 new NodeMessage.Describe(TASK, 2, profile),
