Keep runs whose ends a worker has not listed yet

Callers saw batch tasks run twice after an outage of the store during which more than 500 ends had piled up at one worker.

Cause: a worker lists at most 500 ends at a time. The agent took a run that was in neither list for one that had vanished, and the owner started its task again.

The new tests tasksWhoseEndsAreNotListedYetDoNotRunAgain and tasksWhoseEndsAreNotListedToANewOwnerDoNotRunAgain in WorkerLossTest fail if each list of ends is taken for complete, as before.

The owner stores the ends, which makes the worker list more, but releases no run and goes on waiting for the VM.

--- a/jobs/src/main/java/org/knapweedbank/jobs/AgentReport.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/AgentReport.java
@@ -7,8 +7,8 @@
  * Full state of a VM as known to its agent.
  *
  * @param worker the worker, empty while no worker has announced itself
- * @param listed true if the worker returned the lists in response to a request under the term of
- *     the owner that receives the report
+ * @param listed true if all runs are listed: one that is neither starting nor running nor ended is
+ *     not on the VM. False while the worker has more ends than it lists at once
  * @param starting start orders whose outcome is not known
  * @param running runs that the worker lists as running
  * @param ended ended runs that the worker lists and that have not been acknowledged
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -115,14 +115,13 @@
             return;
         }
         acceptWorker(vm, report.worker().get());
-        if (!report.listed()) {
-            return;
-        }
-        resolve(vm.mAgent);
         report.ended().forEach(end -> mRunTracker.handleEnd(vm, end));
         report.running().forEach(listedRun -> reconcile(vm, listedRun, true));
         report.starting().forEach(listedRun -> reconcile(vm, listedRun, false));
-        releaseAbsent(vm, report, sameProcess);
+        if (report.listed()) {
+            resolve(vm.mAgent);
+            releaseAbsent(vm, report, sameProcess);
+        }
         vm.updateStarvedFillers();
         vm.mRuns.values().forEach(this::sendProfile);
         addToList(vm);
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -84,8 +84,8 @@
     private Link mOwner;
     private long mTerm;
 
-    /** True once the full state has been reported to the connected owner. */
-    private boolean mStateReported;
+    /** What has been reported to the connected owner. */
+    private Reported mReported = Reported.NOTHING;
 
     /**
      * Reason why nothing runs on the VM; null while the worker holds a lease or one that was given
@@ -290,7 +290,7 @@
     public void connected(Link owner, long term) {
         mOwner = owner;
         mTerm = term;
-        mStateReported = false;
+        mReported = Reported.NOTHING;
         if (mNoWorkerReason != null) {
             sendToOwner(new NodeMessage.NoWorker(mNoWorkerReason));
         }
@@ -302,7 +302,7 @@
     /** Handles the loss of the link to the owner. */
     public void disconnected() {
         mOwner = null;
-        mStateReported = false;
+        mReported = Reported.NOTHING;
     }
 
     /**
@@ -331,7 +331,7 @@
             mRuns.clear();
         }
         mWorker = worker;
-        mStateReported = false;
+        mReported = Reported.NOTHING;
         mNoWorkerReason = null;
         mWorkerAnswers = false;
         mPollId++;
@@ -460,7 +460,7 @@
     /** Applies the worker's lists of runs, then reports them and adjusts the pace of fillers. */
     private void applyRunLists(LeaseRenewalReply.Renewed renewed, long term, long sentAtMillis) {
         long nowMillis = mClock.monotonicMillis();
-        if (renewed.complete()) {
+        if (renewed.complete() && renewed.allEnds()) {
             mRuns.removeAbsent(renewed.running(), sentAtMillis);
         }
         mRuns.updateRunning(renewed.running(), nowMillis);
@@ -468,25 +468,30 @@
         expireUnansweredStarts(renewed.workerClockMillis());
         if (mNoWorkerReason != null) {
             mNoWorkerReason = null;
-            mStateReported = false;
+            mReported = Reported.NOTHING;
         }
-        if (!mStateReported) {
-            if (renewed.complete() && mAttributesKnown && term == mTerm && mOwner != null) {
-                reportState();
-            }
-        } else if (!newEnds.isEmpty()) {
-            sendAfterReport(new NodeMessage.Ends(mWorker.id(), newEnds));
+        boolean reportable =
+                renewed.complete() && mAttributesKnown && term == mTerm && mOwner != null;
+        Reported possible = renewed.allEnds() ? Reported.ALL_RUNS : Reported.SOME_ENDS;
+        if (reportable && mReported.compareTo(possible) < 0) {
+            reportState(possible);
+        } else if (mReported != Reported.NOTHING && !newEnds.isEmpty()) {
+            sendToOwner(new NodeMessage.Ends(mWorker.id(), newEnds));
         }
         paceFillers();
     }
 
-    private void reportState() {
-        mStateReported = true;
+    /**
+     * Reports the runs and ends to the owner. While the worker has more ends than it can list, the
+     * report is incomplete; it lets the owner store these ends, after which the worker lists more.
+     */
+    private void reportState(Reported reported) {
+        mReported = reported;
         mOwner.send(
                 new NodeMessage.Report(
                         new AgentReport(
                                 Optional.of(mWorker),
-                                true,
+                                reported == Reported.ALL_RUNS,
                                 mRuns.starting(),
                                 mRuns.running(),
                                 mRuns.unacknowledged())));
@@ -596,7 +601,7 @@
     /** Reports a start; the owner waits for nothing that depends on it, so it is not urgent. */
     private void reportStarted(StartOrder order) {
         logOutcome(order, StartOutcome.STARTED, "");
-        if (mOwner != null && mStateReported) {
+        if (mOwner != null && mReported == Reported.ALL_RUNS) {
             mOwner.sendLater(
                     new NodeMessage.Outcome(order.task(), order.run(), StartOutcome.STARTED));
         }
@@ -720,7 +725,7 @@
         if (mNoWorkerReason == null && leaseExpired()) {
             handleLeaseExpiry();
         }
-        if (mStateReported && mTickCount % 2 == 0) {
+        if (mReported == Reported.ALL_RUNS && mTickCount % 2 == 0) {
             sendToOwner(new NodeMessage.Progress(mWorker.id(), mRuns.running()));
         }
         long nowMillis = mClock.monotonicMillis();
@@ -742,7 +747,7 @@
                 "silent_ms",
                 silenceMillis());
         mRuns.runs().clear();
-        mStateReported = false;
+        mReported = Reported.NOTHING;
         stateNoWorker(
                 mWorker == null
                         ? "no worker has answered for the time of a lease"
@@ -799,7 +804,7 @@
 
     /** Sends a message that follows up on the full report; drops it before that report is sent. */
     private void sendAfterReport(NodeMessage message) {
-        if (mStateReported) {
+        if (mReported == Reported.ALL_RUNS) {
             sendToOwner(message);
         }
     }
--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseRenewalReply.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseRenewalReply.java
@@ -14,13 +14,16 @@
      * @param running runs on the worker
      * @param ended ends of runs that the agent has not acknowledged
      * @param complete false if entries of the lists could not be read and are left out
+     * @param allEnds false if the worker may have more ends to list than fit in the reply; a run
+     *     that is in neither list may then have ended
      */
     record Renewed(
             long workerClockMillis,
             long incarnation,
             List<RunStatus> running,
             List<EndedRun> ended,
-            boolean complete)
+            boolean complete,
+            boolean allEnds)
             implements LeaseRenewalReply {}
 
     /** The worker has seen a higher fencing token. */
--- a/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
@@ -92,6 +92,7 @@
                                 mIncarnation,
                                 List.copyOf(mRunning),
                                 List.copyOf(mEnded),
-                                mListsComplete));
+                                mListsComplete,
+                                true));
     }
 }
--- a/node/src/test/java/org/knapweedbank/node/batch/SimulatedWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/SimulatedWorker.java
@@ -167,7 +167,12 @@
             mRenewal = null;
             callback.accept(
                     new LeaseRenewalReply.Renewed(
-                            mClock.monotonicMillis(), 1, running(), List.copyOf(mEnds), true));
+                            mClock.monotonicMillis(),
+                            1,
+                            running(),
+                            List.copyOf(mEnds),
+                            true,
+                            true));
         }
     }
 
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -237,6 +237,47 @@
         assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
     }
 
+    /**
+     * Guards against a second run of tasks whose ends wait at the worker, while the store is away,
+     * beyond the number that it lists at once.
+     */
+    @Test
+    void tasksWhoseEndsAreNotListedYetDoNotRunAgain() {
+        startShortJobs();
+        mStore.mUnavailable = true;
+        mTimers.advance(Duration.ofSeconds(8));
+        mStore.mUnavailable = false;
+        mTimers.advance(Duration.ofSeconds(5));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
+    }
+
+    /** Guards against the same after the owner has changed and the agents have restarted. */
+    @Test
+    void tasksWhoseEndsAreNotListedToANewOwnerDoNotRunAgain() {
+        startShortJobs();
+        mOwnership.stop();
+        mVms.forEach(VmFixture::disconnect);
+        mTimers.advance(Duration.ofSeconds(3));
+        mVms.forEach(VmFixture::killAgent);
+        mVms.forEach(VmFixture::startAgent);
+        changeOwner();
+        mTimers.advance(Duration.ofSeconds(20));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
+    }
+
+    /** Starts jobs whose ends are more than a worker lists at once. */
+    private void startShortJobs() {
+        mVms.forEach(vm -> vm.mWorker.mMaxListedEnds = 5);
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofMillis(2_000));
+        for (int i = 0; i < 4; i++) {
+            submit("job" + mSubmittedJobs++);
+        }
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mHistory.running()).hasSize(mSubmittedJobs * TASKS);
+    }
+
     private WorkerInfo foreignWorker(String id) {
         return new WorkerInfo(
                 new WorkerId(id, mClock.wallTime().toEpochMilli()),
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -203,7 +203,12 @@
         renewal.mDone()
                 .accept(
                         new LeaseRenewalReply.Renewed(
-                                clockMillis(), mIncarnation, running, ended, true));
+                                clockMillis(),
+                                mIncarnation,
+                                running,
+                                ended,
+                                true,
+                                ended.size() < mMaxListedEnds));
     }
 
     @Override
