List starts without a known outcome in progress messages

Operators saw a task that must run once run twice on the grown Quito deployment.

Cause: when the answer to a start and those to the lease renewals of the next 4 s are lost, the agent does not know whether the task runs. It kept the run among its unsettled starts, but its progress messages listed only runs that the worker had confirmed. The owner releases a run that is missing from them 4 s after its order, and started the task again.

The new test WorkerLossTest.tasksStartedWhileAnswersAreLostDoNotRunAgain fails if unsettled starts are left out.

Change: a progress message lists unsettled starts too, as the full report does, and the owner keeps their runs until the agent settles them.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -247,10 +247,12 @@
      *
      * @param agent the agent of the VM
      * @param worker incarnation of the worker
-     * @param running all runs of the worker
+     * @param starting runs whose start has no known outcome
+     * @param running all runs that the worker has listed
      */
-    public void handleProgress(DaemonId agent, WorkerId worker, List<RunStatus> running) {
-        mVmTracker.handleProgress(agent, worker, running);
+    public void handleProgress(
+            DaemonId agent, WorkerId worker, List<RunStatus> starting, List<RunStatus> running) {
+        mVmTracker.handleProgress(agent, worker, starting, running);
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -129,7 +129,8 @@
     }
 
     /** Handles the complete list of a worker's runs. */
-    void handleProgress(DaemonId agent, WorkerId worker, List<RunStatus> running) {
+    void handleProgress(
+            DaemonId agent, WorkerId worker, List<RunStatus> starting, List<RunStatus> running) {
         Vm vm = mState.mVms.get(agent);
         if (vm == null || !vm.hasWorker(worker)) {
             return;
@@ -138,10 +139,12 @@
         observePressure(vm, running);
         Set<TaskName> listed = new HashSet<>();
         running.forEach(listedRun -> listed.add(listedRun.task()));
-        vm.mUnwantedTasks.retainAll(listed);
+        Set<TaskName> present = new HashSet<>(listed);
+        starting.forEach(startingRun -> present.add(startingRun.task()));
+        vm.mUnwantedTasks.retainAll(present);
         long settledBefore = mState.now() - mState.mSettings.orderTimeout().toMillis();
         List.copyOf(vm.mRuns.values()).stream()
-                .filter(run -> !listed.contains(run.mTask.mName) && run.mOrderedAt < settledBefore)
+                .filter(run -> !present.contains(run.mTask.mName) && run.mOrderedAt < settledBefore)
                 .forEach(run -> releaseAbsentRun(vm, run));
         vm.updateStarvedFillers();
         sendChangedRanks(vm);
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/HangDetectorTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/HangDetectorTest.java
@@ -31,7 +31,10 @@
                                                 500))
                         .toList();
         mFixture.mOwner.handleProgress(
-                mFixture.mStarts.getFirst().mVm(), OwnerFixture.worker(vm, 1, 0, false).id(), runs);
+                mFixture.mStarts.getFirst().mVm(),
+                OwnerFixture.worker(vm, 1, 0, false).id(),
+                List.of(),
+                runs);
         mFixture.advanceTime(Duration.ofSeconds(1), "a", "b");
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ServingConsolidatorTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ServingConsolidatorTest.java
@@ -52,6 +52,7 @@
                 mFixture.mOwner.handleProgress(
                         order.mVm(),
                         OwnerFixture.worker(order.mVm().value(), 1, 0, false).id(),
+                        List.of(),
                         List.of(run));
             }
             mFixture.advanceTime(Duration.ofSeconds(1), "a", "b");
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -293,7 +293,10 @@
         assertThat(mEarlierOwner.mStarts).hasSize(1);
         mEarlierOwner.advanceTime(OwnerFixture.SETTINGS.orderTimeout().plusMillis(1), "vm");
         mEarlierOwner.mOwner.handleProgress(
-                new DaemonId("vm"), OwnerFixture.worker("vm", 1, 0, false).id(), List.of());
+                new DaemonId("vm"),
+                OwnerFixture.worker("vm", 1, 0, false).id(),
+                List.of(),
+                List.of());
         mEarlierOwner.mOwner.schedule();
         assertThat(mEarlierOwner.mStarts).hasSize(2);
     }
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -726,7 +726,7 @@
             handleLeaseExpiry();
         }
         if (mReported == Reported.ALL_RUNS && mTickCount % 2 == 0) {
-            sendToOwner(new NodeMessage.Progress(mWorker.id(), mRuns.running()));
+            sendToOwner(new NodeMessage.Progress(mWorker.id(), mRuns.starting(), mRuns.running()));
         }
         long nowMillis = mClock.monotonicMillis();
         mRuns.runs().stream()
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -464,7 +464,10 @@
                 case NodeMessage.Report report -> handleReport(report);
                 case NodeMessage.Progress progress ->
                         mOwner.handleProgress(
-                                mHello.agent(), progress.worker(), progress.running());
+                                mHello.agent(),
+                                progress.worker(),
+                                progress.starting(),
+                                progress.running());
                 case NodeMessage.Ends ends -> {
                     mOwner.handleEndedRuns(mHello.agent(), ends.worker(), ends.ends());
                     scheduleSoon();
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -107,6 +107,7 @@
             case NodeMessage.Report m -> packReport(out.packInt(REPORT), m.report());
             case NodeMessage.Progress m -> {
                 packWorker(out.packInt(PROGRESS), m.worker());
+                packRunning(out, m.starting());
                 packRunning(out, m.running());
             }
             case NodeMessage.Ends m -> {
@@ -155,7 +156,9 @@
             case PING -> new NodeMessage.Ping(in.unpackLong(), unpackOptionalWorker(in));
             case PONG -> new NodeMessage.Pong(in.unpackLong());
             case REPORT -> new NodeMessage.Report(unpackReport(in));
-            case PROGRESS -> new NodeMessage.Progress(unpackWorker(in), unpackRunning(in));
+            case PROGRESS ->
+                    new NodeMessage.Progress(
+                            unpackWorker(in), unpackRunning(in), unpackRunning(in));
             case ENDS -> new NodeMessage.Ends(unpackWorker(in), unpackEnds(in));
             case OUTCOME ->
                     new NodeMessage.Outcome(
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -75,9 +75,11 @@
      * All runs on a worker, sent periodically.
      *
      * @param worker the worker
+     * @param starting runs whose start has no known outcome; the worker may have started them
      * @param running its runs
      */
-    record Progress(WorkerId worker, List<RunStatus> running) implements NodeMessage {}
+    record Progress(WorkerId worker, List<RunStatus> starting, List<RunStatus> running)
+            implements NodeMessage {}
 
     /**
      * New ends of runs on a worker.
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -141,7 +141,8 @@
                 case NodeMessage.Report report ->
                         mOwner.handleReport(mId, DC, report.report(), true);
                 case NodeMessage.Progress progress ->
-                        mOwner.handleProgress(mId, progress.worker(), progress.running());
+                        mOwner.handleProgress(
+                                mId, progress.worker(), progress.starting(), progress.running());
                 case NodeMessage.Ends ends ->
                         mOwner.handleEndedRuns(mId, ends.worker(), ends.ends());
                 case NodeMessage.Outcome outcome ->
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -237,6 +237,24 @@
         assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
     }
 
+    /**
+     * Guards against a second run of tasks that the worker has started while its answers were lost,
+     * so that neither their starts nor their ends were known.
+     */
+    @Test
+    void tasksStartedWhileAnswersAreLostDoNotRunAgain() {
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofSeconds(1));
+        mTimers.advance(Duration.ofMillis(600));
+        submit("a");
+        mTimers.advance(Duration.ofMillis(1));
+        mVms.forEach(vm -> vm.mWorker.mAnswersLost = true);
+        mTimers.advance(Duration.ofMillis(4_600));
+        mVms.forEach(vm -> vm.mWorker.mAnswersLost = false);
+        mTimers.advance(Duration.ofSeconds(5));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
     /**
      * Guards against a second run of tasks whose ends wait at the worker, while the store is away,
      * beyond the number that it lists at once.
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -27,6 +27,7 @@
  */
 final class WorkerStandIn implements WorkerClient {
     private static final Duration STEP = Duration.ofMillis(10);
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_500);
 
     private final ManualTimers mTimers;
     private final ManualClock mClock;
@@ -44,6 +45,9 @@
     /** Time that each task takes. */
     Duration mTaskDuration = Duration.ofSeconds(12);
 
+    /** True while the worker carries out all calls and no answer of it arrives. */
+    boolean mAnswersLost;
+
     /** Maximum number of ends in a reply. */
     int mMaxListedEnds = 500;
 
@@ -154,7 +158,11 @@
         mLeaseEndMillis = Math.max(mLeaseEndMillis, deadlineMillis);
         mHistory.started(order.task());
         mRuns.put(order.task(), new Run(order.run(), clockMillis()));
-        done.accept(new StartReply.Started(clockMillis()));
+        if (mAnswersLost) {
+            mTimers.after(ANSWER_TIMEOUT, () -> done.accept(new StartReply.NoAnswer("lost")));
+        } else {
+            done.accept(new StartReply.Started(clockMillis()));
+        }
     }
 
     @Override
@@ -195,6 +203,12 @@
 
     private void answer(Renewal renewal) {
         mWaitingRenewals.remove(renewal);
+        if (mAnswersLost) {
+            mTimers.after(
+                    ANSWER_TIMEOUT,
+                    () -> renewal.mDone().accept(new LeaseRenewalReply.NoAnswer("lost")));
+            return;
+        }
         List<RunStatus> running =
                 mRuns.entrySet().stream()
                         .map(entry -> status(entry.getKey(), entry.getValue()))
