Wait before the next order after an agent has refused one

Cause: after a refusal of the worker a VM gets no orders for 250 ms, but not after one of its agent. In the trace of the task that ran twice the owner sent 27 orders for it to the same VM within 0.5 s. An agent refuses orders for as long as its worker drains, has restarted and not reported itself, or has another run of the task.

Change: both refusals delay the next order.

Result: JobOwnerTest.refusedStartDelaysNextOrder, which now covers both outcomes, passes; by reading, it fails for NOT_PERMITTED before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/StartOutcome.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/StartOutcome.java
@@ -9,8 +9,8 @@
     /** The run has not started and can no longer start. */
     NOT_STARTED,
     /**
-     * The run has not started, because the permit of the agent was outdated or the worker was
-     * draining.
+     * The agent has not passed the order on, for example because its permit was outdated or the
+     * worker was draining.
      */
     NOT_PERMITTED
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -36,8 +36,9 @@
     private static final long MOVE_CLAIM_MILLIS = 2_000;
 
     /**
-     * Time without orders to a VM after it refused a start because it lacks room or is unhealthy,
-     * in milliseconds.
+     * Time without orders to a VM after its worker refused a start, because it lacks room or is
+     * unhealthy, or its agent did, in milliseconds. The cause of a refusal lasts, and the next
+     * order would follow within milliseconds.
      */
     private static final long REFUSAL_BACKOFF_MILLIS = 250;
 
@@ -86,11 +87,11 @@
         }
         switch (outcome) {
             case STARTED -> confirmStart(run);
-            case REFUSED -> {
+            case REFUSED, NOT_PERMITTED -> {
                 vm.mBackoffUntil = mState.now() + REFUSAL_BACKOFF_MILLIS;
                 release(run);
             }
-            case NOT_STARTED, NOT_PERMITTED -> release(run);
+            case NOT_STARTED -> release(run);
         }
         if (outcome != StartOutcome.STARTED) {
             mState.mLog.record("task.not_started", name, "run", runNumber, "outcome", outcome);
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
@@ -8,6 +8,8 @@
 import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
@@ -265,15 +267,15 @@
         assertThat(mFixture.mStarts).hasSize(1);
     }
 
-    /** Guards against a tight loop of start orders to a VM that refuses them. */
-    @Test
-    void refusedStartDelaysNextOrder() {
+    /** Guards against a tight loop of start orders to a VM whose worker or agent refuses them. */
+    @ParameterizedTest
+    @EnumSource(names = {"REFUSED", "NOT_PERMITTED"})
+    void refusedStartDelaysNextOrder(StartOutcome outcome) {
         mFixture.addVm("vm", 8_000);
         mFixture.submit("a", OwnerFixture.step(1, 1_000, BATCH));
         mFixture.storeAndSchedule();
         var order = mFixture.lastStart();
-        mFixture.mOwner.handleStartOutcome(
-                order.mVm(), order.mTask(), order.mRunNumber(), StartOutcome.REFUSED);
+        mFixture.mOwner.handleStartOutcome(order.mVm(), order.mTask(), order.mRunNumber(), outcome);
         mFixture.mOwner.schedule();
         assertThat(mFixture.mStarts).hasSize(1);
         mFixture.advanceTime(Duration.ofSeconds(1), "vm");
