Split the probe, the throttle and the lease expiry from AgentSession

The calls to an announced worker are WorkerProbe, the paces of fillers FillerThrottle, and the decision that every lease has expired moves to LeaseAuthority, which holds its inputs.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -30,12 +30,6 @@
     /** Delay before the next lease renewal after the worker did not answer. */
     private static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
-    /**
-     * Time after a status report for which a worker that does not answer is called again. Workers
-     * report themselves more often.
-     */
-    private static final Duration MAX_PROBE_TIME = Duration.ofSeconds(3);
-
     /**
      * Maximum delay of the next lease renewal while the owner has not acknowledged all reported
      * ends. Without it the worker, which answers at once while it has ends to report, would list
@@ -43,12 +37,6 @@
      */
     private static final Duration MAX_ACKNOWLEDGEMENT_WAIT = Duration.ofMillis(100);
 
-    /** Maximum ratio between the rates of the agent's and the worker's clocks. */
-    private static final double MAX_CLOCK_RATE_FACTOR = 1.02;
-
-    /** Margin after the lease's end before all runs on a silent worker count as ended. */
-    private static final long CLOCK_MARGIN_MILLIS = 400;
-
     private final AgentSettings mSettings;
     private final Clock mClock;
     private final Timers mTimers;
@@ -56,25 +44,12 @@
     private final DecisionLog mLog;
     private final RunTable mRuns = new RunTable();
     private final LeaseAuthority mAuthority;
-    private final FillerPacer mPacer = new FillerPacer();
+    private final FillerThrottle mThrottle;
+    private final WorkerProbe mProbe;
 
     /** Worker that takes the calls on this VM; null if none has answered yet. */
     private WorkerInfo mWorker;
 
-    /**
-     * Monotonic time in milliseconds since which no call of this process has extended a lease, if
-     * the clock of the worker has not been read.
-     */
-    private long mNoLeaseSinceMillis;
-
-    /** Newest status report of a worker that has not answered a call yet; null if there is none. */
-    private StatusReport mCandidate;
-
-    private long mCandidateReportedAtMillis;
-
-    /** Identifies the current series of calls to the candidate. */
-    private int mProbeId;
-
     /** Sequence number of the newest status report of the worker. */
     private long mReportSequence;
 
@@ -109,9 +84,6 @@
     private boolean mPollingPaused;
     private int mTickCount;
 
-    /** Last logged paces of the fillers, in percent. */
-    private List<Integer> mLoggedPaces = List.of();
-
     /**
      * Creates the session and starts its periodic work.
      *
@@ -133,7 +105,8 @@
         mWorkerClient = workerClient;
         mLog = log;
         mAuthority = new LeaseAuthority(clock, settings.taskLease());
-        mNoLeaseSinceMillis = clock.monotonicMillis();
+        mThrottle = new FillerThrottle(clock, workerClient, log, mRuns);
+        mProbe = new WorkerProbe(clock, timers, workerClient, log, new ProbeListener());
         timers.every(TICK_INTERVAL, this::tick);
     }
 
@@ -153,10 +126,8 @@
             updateWorker(report);
         } else if (mWorker != null && info.id().incarnation() < mWorker.id().incarnation()) {
             mLog.record("worker.outdated", info.id(), "present", mWorker.id());
-        } else if (!isOlderThanCandidate(report)) {
-            mCandidate = report;
-            mCandidateReportedAtMillis = mClock.monotonicMillis();
-            probeCandidate();
+        } else {
+            mProbe.announce(report);
         }
     }
 
@@ -183,72 +154,6 @@
         }
     }
 
-    private boolean isOlderThanCandidate(StatusReport report) {
-        return mCandidate != null
-                && mCandidate.worker().id().equals(report.worker().id())
-                && mCandidate.sequence() >= report.sequence();
-    }
-
-    /**
-     * Calls the candidate, which becomes the worker if it answers. The call extends no lease and
-     * acknowledges no end, so it does not matter which worker carries it out.
-     */
-    private void probeCandidate() {
-        mProbeId++;
-        if (mCandidate == null || mTerm == 0) {
-            return;
-        }
-        int probeId = mProbeId;
-        long term = mTerm;
-        long sentAtMillis = mClock.monotonicMillis();
-        WorkerId worker = mCandidate.worker().id();
-        mWorkerClient.renewLease(
-                new LeaseRenewalRequest(worker, term, 0, OptionalLong.empty(), Duration.ZERO),
-                reply -> handleProbeReply(probeId, worker, term, sentAtMillis, reply));
-    }
-
-    private void handleProbeReply(
-            int probeId, WorkerId worker, long term, long sentAtMillis, LeaseRenewalReply reply) {
-        if (mCandidate == null || !mCandidate.worker().id().equals(worker)) {
-            return;
-        }
-        switch (reply) {
-            case LeaseRenewalReply.Renewed renewed
-                    when renewed.incarnation() == worker.incarnation() -> {
-                acceptCandidate();
-                handleRenewalReply(mPollId, worker, term, sentAtMillis, renewed);
-            }
-            case LeaseRenewalReply.Renewed other -> rejectCandidate(other.incarnation());
-            case LeaseRenewalReply.OtherWorker ignored -> rejectCandidate("another worker");
-            case LeaseRenewalReply.Fenced ignored -> handleFenced(worker, term);
-            case LeaseRenewalReply.NoAnswer none -> {
-                mLog.record("worker.silent", worker, "cause", none.reason());
-                mTimers.after(RETRY_DELAY, () -> repeatProbe(probeId));
-            }
-        }
-    }
-
-    private void repeatProbe(int probeId) {
-        long waitedMillis = mClock.monotonicMillis() - mCandidateReportedAtMillis;
-        if (probeId == mProbeId && waitedMillis < MAX_PROBE_TIME.toMillis()) {
-            probeCandidate();
-        }
-    }
-
-    private void acceptCandidate() {
-        WorkerInfo info = mCandidate.worker();
-        mLog.record("worker.joined", info.id(), "service", info.service());
-        replaceWorker(info);
-        mAttributesKnown = true;
-        mReportSequence = mCandidate.sequence();
-        mCandidate = null;
-    }
-
-    private void rejectCandidate(Object answeredBy) {
-        mLog.record("worker.rejected", mCandidate.worker().id(), "calls_answered_by", answeredBy);
-        mCandidate = null;
-    }
-
     /**
      * Handles the worker's notice that it is shutting down, which ends all its runs.
      *
@@ -261,9 +166,10 @@
             mLeftWorker = mWorker.id();
             replaceWorker(null);
             stateNoWorker("the worker has left");
-        } else if (mCandidate != null && isIncarnation(mCandidate.worker().id(), id, incarnation)) {
-            mLeftWorker = mCandidate.worker().id();
-            mCandidate = null;
+        } else if (mProbe.candidate() != null
+                && isIncarnation(mProbe.candidate(), id, incarnation)) {
+            mLeftWorker = mProbe.candidate();
+            mProbe.discard();
         }
     }
 
@@ -295,7 +201,7 @@
             sendToOwner(new NodeMessage.NoWorker(mNoWorkerReason));
         }
         restartPolling();
-        probeCandidate();
+        mProbe.setTerm(term);
         sendPing();
     }
 
@@ -336,7 +242,6 @@
         mWorkerAnswers = false;
         mPollId++;
         mAuthority.reset();
-        mNoLeaseSinceMillis = mClock.monotonicMillis();
     }
 
     /**
@@ -478,7 +383,7 @@
         } else if (mReported != Reported.NOTHING && !newEnds.isEmpty()) {
             sendToOwner(new NodeMessage.Ends(mWorker.id(), newEnds));
         }
-        paceFillers();
+        mThrottle.adjust(mWorker.id(), mTerm);
     }
 
     /**
@@ -576,7 +481,7 @@
             case StartReply.Started ignored -> {
                 run.markStarted(mClock.monotonicMillis());
                 reportStarted(order);
-                applyPace();
+                mThrottle.apply(mWorker.id(), mTerm);
             }
             case StartReply.Refused refused -> {
                 boolean atCapacity =
@@ -653,76 +558,11 @@
         }
     }
 
-    private void paceFillers() {
-        List<Double> loads = mRuns.runs().stream().map(Run::load).filter(load -> load > 0).toList();
-        mPacer.observe(mClock.monotonicMillis(), loads, pressure());
-        applyPace();
-    }
-
-    /** Returns the highest ratio of latency to objective among the serving tasks. */
-    private double worstLoad() {
-        return mRuns.runs().stream().mapToDouble(Run::load).max().orElse(0);
-    }
-
-    /** Returns the utilization that the running fillers would add at full pace. */
-    private double pressure() {
-        return mRuns.runs().stream()
-                .filter(run -> run.mStarted)
-                .mapToDouble(run -> run.mProfile.pressure())
-                .sum();
-    }
-
-    /** Sets the pace of each running filler that has changed. */
-    private void applyPace() {
-        List<Run> fillers =
-                mRuns.runs().stream()
-                        .filter(run -> run.mStarted && run.mProfile.pressure() > 0)
-                        .toList();
-        List<Integer> paces = mPacer.paces(fillers.stream().map(run -> run.mProfile).toList());
-        logPaces(paces);
-        for (int i = 0; i < paces.size(); i++) {
-            if (fillers.get(i).mPace != paces.get(i)) {
-                setPace(fillers.get(i), paces.get(i));
-            }
-        }
-    }
-
-    private void logPaces(List<Integer> paces) {
-        if (!paces.equals(mLoggedPaces)) {
-            mLog.record(
-                    "fillers.pace",
-                    mWorker.id(),
-                    "percents",
-                    paces,
-                    "worst_load",
-                    worstLoad(),
-                    "pressure",
-                    pressure());
-            mLoggedPaces = paces;
-        }
-    }
-
-    private void setPace(Run run, int pace) {
-        int previousPace = run.mPace;
-        run.mPace = pace;
-        mWorkerClient.pace(
-                mWorker.id(),
-                run.mTask,
-                run.mNumber,
-                pace,
-                mTerm,
-                accepted -> {
-                    if (!accepted && run.mPace == pace) {
-                        run.mPace = previousPace;
-                    }
-                });
-    }
-
     /** Pings the owner, reports progress, repeats unfinished stops and checks the lease. */
     private void tick() {
         mTickCount++;
         sendPing();
-        if (mNoWorkerReason == null && leaseExpired()) {
+        if (mNoWorkerReason == null && mAuthority.allLeasesExpired()) {
             handleLeaseExpiry();
         }
         if (mReported == Reported.ALL_RUNS && mTickCount % 2 == 0) {
@@ -745,7 +585,7 @@
                 "worker.lost",
                 mWorker == null ? "unknown" : mWorker.id(),
                 "silent_ms",
-                silenceMillis());
+                mAuthority.silence().toMillis());
         mRuns.runs().clear();
         mReported = Reported.NOTHING;
         stateNoWorker(
@@ -759,33 +599,6 @@
         sendToOwner(new NodeMessage.NoWorker(reason));
     }
 
-    /**
-     * Returns the time since the worker's clock was read, or since no lease can have been given.
-     */
-    private long silenceMillis() {
-        return mAuthority.hasReading()
-                ? mAuthority.timeSinceReading().toMillis()
-                : mClock.monotonicMillis() - mNoLeaseSinceMillis;
-    }
-
-    /**
-     * Returns whether every lease on the VM has expired, and with it all runs: that of a silent
-     * worker, and those that an earlier process of the agent may have given.
-     */
-    private boolean leaseExpired() {
-        long leaseMillis = mSettings.taskLease().toMillis();
-        long silenceMillis = silenceMillis();
-        if (mAuthority.hasReading()) {
-            long remainingMillis =
-                    mAuthority.leaseEndMillis() - (mAuthority.workerClockMillis() - silenceMillis);
-            leaseMillis =
-                    mAuthority.leaseEndMillis() == Long.MIN_VALUE
-                            ? leaseMillis
-                            : Math.max(0, remainingMillis);
-        }
-        return silenceMillis > leaseMillis * MAX_CLOCK_RATE_FACTOR + CLOCK_MARGIN_MILLIS;
-    }
-
     private void sendPing() {
         if (mOwner != null) {
             mOwner.send(new NodeMessage.Ping(mAuthority.nextRequest(), leasedWorker()));
@@ -814,4 +627,26 @@
             mOwner.send(message);
         }
     }
+
+    /** Accepts the worker that has answered a call as the one of this VM. */
+    private final class ProbeListener implements WorkerProbe.Listener {
+        @Override
+        public void answered(
+                StatusReport report,
+                LeaseRenewalReply.Renewed reply,
+                long term,
+                long sentAtMillis) {
+            WorkerInfo info = report.worker();
+            mLog.record("worker.joined", info.id(), "service", info.service());
+            replaceWorker(info);
+            mAttributesKnown = true;
+            mReportSequence = report.sequence();
+            handleRenewalReply(mPollId, info.id(), term, sentAtMillis, reply);
+        }
+
+        @Override
+        public void fenced(WorkerId worker, long term) {
+            handleFenced(worker, term);
+        }
+    }
 }
--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
@@ -15,6 +15,12 @@
 final class LeaseAuthority {
     private static final int MAX_REMEMBERED_REQUESTS = 64;
 
+    /** Maximum ratio between the rates of the agent's and the worker's clocks. */
+    private static final double MAX_CLOCK_RATE_FACTOR = 1.02;
+
+    /** Margin after the lease's end before all runs on a silent worker count as ended. */
+    private static final long CLOCK_MARGIN_MILLIS = 400;
+
     private final Clock mClock;
     private final Duration mTaskLease;
     private final Deque<Request> mRequests = new ArrayDeque<>();
@@ -23,9 +29,13 @@
     private long mWorkerClockMillis = Long.MIN_VALUE;
     private long mReadAtMillis;
 
+    /** Monotonic time in milliseconds since which this process has extended no lease. */
+    private long mNoLeaseSinceMillis;
+
     LeaseAuthority(Clock clock, Duration taskLease) {
         mClock = clock;
         mTaskLease = taskLease;
+        mNoLeaseSinceMillis = clock.monotonicMillis();
     }
 
     /** Discards the state of an earlier incarnation of the worker. */
@@ -33,6 +43,7 @@
         mRequests.clear();
         mLeaseEndMillis = Long.MIN_VALUE;
         mWorkerClockMillis = Long.MIN_VALUE;
+        mNoLeaseSinceMillis = mClock.monotonicMillis();
     }
 
     /** Records a reading of the worker's clock; returns false if a newer one is known. */
@@ -97,9 +108,25 @@
         return mWorkerClockMillis + mClock.monotonicMillis() - mReadAtMillis;
     }
 
-    /** Returns the time since the last reading of the worker's clock. */
-    Duration timeSinceReading() {
-        return Duration.ofMillis(mClock.monotonicMillis() - mReadAtMillis);
+    /**
+     * Returns the time since the worker's clock was read; without a reading, since this process has
+     * extended no lease.
+     */
+    Duration silence() {
+        long sinceMillis = hasReading() ? mReadAtMillis : mNoLeaseSinceMillis;
+        return Duration.ofMillis(mClock.monotonicMillis() - sinceMillis);
+    }
+
+    /**
+     * Returns whether every lease on the VM has expired, and with it all runs: that of a silent
+     * worker, and those that an earlier process of the agent may have given.
+     */
+    boolean allLeasesExpired() {
+        long leaseMillis =
+                hasReading() && mLeaseEndMillis != Long.MIN_VALUE
+                        ? Math.max(0, mLeaseEndMillis - mWorkerClockMillis)
+                        : mTaskLease.toMillis();
+        return silence().toMillis() > leaseMillis * MAX_CLOCK_RATE_FACTOR + CLOCK_MARGIN_MILLIS;
     }
 
     private record Request(long mNumber, long mWorkerClockMillis, Timestamp mSentAt) {}
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -28,7 +28,7 @@
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
 
-/** Tests what becomes of the tasks of a worker that ends, with real agents and a real owner. */
+/** Tests that each task runs once while workers, agents, owners and the store fail. */
 class WorkerLossTest {
     private static final QueueKey QUEUE = new QueueKey("host", "/q/");
     private static final Duration LEASE = Duration.ofSeconds(6);
