Share the release of runs that a VM no longer lists

A progress message and a full report each built the set of present tasks and released the others; since progress messages list unsettled starts both do the same. WorkerProbe uses the retry delay of AgentSession. Behaviour stays the same; tests of jobs, node and platform pass.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -2,10 +2,11 @@
 
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.RunProfile;
 import org.knapweedbank.jobs.RunStatus;
@@ -120,7 +121,9 @@
         report.starting().forEach(listedRun -> reconcile(vm, listedRun, false));
         if (report.listed()) {
             resolve(vm.mAgent);
-            releaseAbsent(vm, report, sameProcess);
+            Stream<RunStatus> present =
+                    Stream.concat(report.starting().stream(), report.running().stream());
+            releaseAbsent(vm, taskNames(present), sameProcess);
         }
         vm.updateStarvedFillers();
         vm.mRuns.values().forEach(this::sendProfile);
@@ -137,15 +140,10 @@
         }
         running.forEach(listedRun -> reconcile(vm, listedRun, true));
         observePressure(vm, running);
-        Set<TaskName> listed = new HashSet<>();
-        running.forEach(listedRun -> listed.add(listedRun.task()));
-        Set<TaskName> present = new HashSet<>(listed);
-        starting.forEach(startingRun -> present.add(startingRun.task()));
+        Set<TaskName> listed = taskNames(running.stream());
+        Set<TaskName> present = taskNames(Stream.concat(starting.stream(), running.stream()));
         vm.mUnwantedTasks.retainAll(present);
-        long settledBefore = mState.now() - mState.mSettings.orderTimeout().toMillis();
-        List.copyOf(vm.mRuns.values()).stream()
-                .filter(run -> !present.contains(run.mTask.mName) && run.mOrderedAt < settledBefore)
-                .forEach(run -> releaseAbsentRun(vm, run));
+        releaseAbsent(vm, present, false);
         vm.updateStarvedFillers();
         sendChangedRanks(vm);
         mHangDetector.inspect(vm, listed);
@@ -427,18 +425,21 @@
         mState.mOutput.stop(vm.mAgent, listedRun.task(), listedRun.run());
     }
 
+    private static Set<TaskName> taskNames(Stream<RunStatus> runs) {
+        return runs.map(RunStatus::task).collect(Collectors.toSet());
+    }
+
     /**
-     * Releases runs that the report of a VM does not list, except those whose start order may still
-     * be on its way.
+     * Releases the runs that are not present on a VM.
+     *
+     * @param ordersKnown true if the list of present tasks accounts for all orders sent to the VM;
+     *     otherwise runs whose start order may still be on its way are kept
      */
-    private void releaseAbsent(Vm vm, AgentReport report, boolean sameProcess) {
-        Set<TaskName> listed = new HashSet<>();
-        report.running().forEach(listedRun -> listed.add(listedRun.task()));
-        report.starting().forEach(listedRun -> listed.add(listedRun.task()));
+    private void releaseAbsent(Vm vm, Set<TaskName> present, boolean ordersKnown) {
         long settledBefore = mState.now() - mState.mSettings.orderTimeout().toMillis();
         List.copyOf(vm.mRuns.values()).stream()
-                .filter(run -> !listed.contains(run.mTask.mName))
-                .filter(run -> sameProcess || run.mOrderedAt < settledBefore)
+                .filter(run -> !present.contains(run.mTask.mName))
+                .filter(run -> ordersKnown || run.mOrderedAt < settledBefore)
                 .forEach(run -> releaseAbsentRun(vm, run));
     }
 
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -27,8 +27,8 @@
     /** Interval of pings to the owner, of repeated stop orders and of the lease check. */
     private static final Duration TICK_INTERVAL = Duration.ofMillis(500);
 
-    /** Delay before the next lease renewal after the worker did not answer. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(150);
+    /** Delay before the next call after the worker did not answer. */
+    static final Duration RETRY_DELAY = Duration.ofMillis(150);
 
     /**
      * Maximum delay of the next lease renewal while the owner has not acknowledged all reported
--- a/node/src/main/java/org/knapweedbank/node/agent/WorkerProbe.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/WorkerProbe.java
@@ -12,9 +12,6 @@
  * VM. The report alone does not show it: it may be delayed or come from another process.
  */
 final class WorkerProbe {
-    /** Delay before the next call after the worker did not answer. */
-    private static final Duration RETRY_DELAY = Duration.ofMillis(150);
-
     /**
      * Time after a status report for which a worker that does not answer is called again. Workers
      * report themselves more often.
@@ -136,7 +133,7 @@
             case LeaseRenewalReply.Fenced ignored -> mListener.fenced(worker, term);
             case LeaseRenewalReply.NoAnswer none -> {
                 mLog.record("worker.silent", worker, "cause", none.reason());
-                mTimers.after(RETRY_DELAY, () -> repeat(series));
+                mTimers.after(AgentSession.RETRY_DELAY, () -> repeat(series));
             }
         }
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.WorkerInfo;
@@ -157,7 +158,7 @@
             }
         }
 
-        private Link end(java.util.function.Consumer<NodeMessage> receiver) {
+        private Link end(Consumer<NodeMessage> receiver) {
             return new Link() {
                 @Override
                 public void send(NodeMessage message) {
