Log which incarnation and which list the release of a run rests on

An answer to a start is logged with the worker's clock and, where named, its incarnation; the agent logs each report with the age of its list and each run that it drops without an end, and the owner logs the report and the age of each run that it gives up. A list's ends are applied before its missing runs are removed, so that only runs without an end are logged as dropped.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -129,6 +129,12 @@
                                     run.mNumber,
                                     "vm",
                                     vm.mAgent.value(),
+                                    "worker",
+                                    vm.mWorker.id(),
+                                    "confirmed",
+                                    run.mStartConfirmed,
+                                    "ordered_ms_ago",
+                                    mState.now() - run.mOrderedAt,
                                     "reason",
                                     reason);
                             saveCheckpoint(task, run.mCheckpoint);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -115,6 +115,7 @@
         if (report.worker().isEmpty() || outdated(vm, report.worker().get())) {
             return;
         }
+        logReport(vm, report, sameProcess);
         acceptWorker(vm, report.worker().get());
         report.ended().forEach(end -> mRunTracker.handleEnd(vm, end));
         report.running().forEach(listedRun -> reconcile(vm, listedRun, true));
@@ -131,6 +132,26 @@
         mState.mOutput.acknowledgeEnds(vm.mAgent, vm.advanceAcknowledgedEnd());
     }
 
+    private void logReport(Vm vm, AgentReport report, boolean sameProcess) {
+        mState.mLog.record(
+                "vm.report",
+                vm.mAgent.value(),
+                "worker",
+                report.worker().get().id(),
+                "known_worker",
+                vm.mWorker == null ? "none" : vm.mWorker.id(),
+                "same_process",
+                sameProcess,
+                "listed",
+                report.listed(),
+                "starting",
+                report.starting().size(),
+                "running",
+                report.running().size(),
+                "ended",
+                report.ended().size());
+    }
+
     /** Handles the complete list of a worker's runs. */
     void handleProgress(
             DaemonId agent, WorkerId worker, List<RunStatus> starting, List<RunStatus> running) {
@@ -446,7 +467,18 @@
     /** Releases a run that its VM no longer lists. */
     private void releaseAbsentRun(Vm vm, Run run) {
         mState.mLog.record(
-                "task.absent", run.mTask.mName, "run", run.mNumber, "vm", vm.mAgent.value());
+                "task.absent",
+                run.mTask.mName,
+                "run",
+                run.mNumber,
+                "vm",
+                vm.mAgent.value(),
+                "worker",
+                vm.mWorker.id(),
+                "confirmed",
+                run.mStartConfirmed,
+                "ordered_ms_ago",
+                mState.now() - run.mOrderedAt);
         mRunTracker.release(run);
     }
 }
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -232,7 +232,8 @@
         boolean sameId =
                 worker != null && mWorker != null && mWorker.id().id().equals(worker.id().id());
         if (sameId) {
-            mRuns.clearListed();
+            mRuns.clearListed()
+                    .forEach(run -> logRemoval(run, "ended with the former incarnation"));
         } else {
             mRuns.clear();
         }
@@ -244,6 +245,10 @@
         mAuthority.reset();
     }
 
+    private void logRemoval(Run run, String reason) {
+        mLog.record("task.removed", run.mTask, "run", run.mNumber, "reason", reason);
+    }
+
     /**
      * Changes to an incarnation that answers under the identifier of the known one, which has ended
      * with all its runs. Nothing is started on it and none of its ends is acknowledged until its
@@ -365,11 +370,12 @@
     /** Applies the worker's lists of runs, then reports them and adjusts the pace of fillers. */
     private void applyRunLists(LeaseRenewalReply.Renewed renewed, long term, long sentAtMillis) {
         long nowMillis = mClock.monotonicMillis();
-        if (renewed.complete() && renewed.allEnds()) {
-            mRuns.removeAbsent(renewed.running(), sentAtMillis);
-        }
         mRuns.updateRunning(renewed.running(), nowMillis);
         List<EndedRun> newEnds = mRuns.addEnds(renewed.ended());
+        if (renewed.complete() && renewed.allEnds()) {
+            mRuns.removeAbsent(renewed.running(), sentAtMillis)
+                    .forEach(run -> logRemoval(run, "not in the worker's lists"));
+        }
         expireUnansweredStarts(renewed.workerClockMillis());
         if (mNoWorkerReason != null) {
             mNoWorkerReason = null;
@@ -379,7 +385,7 @@
                 renewed.complete() && mAttributesKnown && term == mTerm && mOwner != null;
         Reported possible = renewed.allEnds() ? Reported.ALL_RUNS : Reported.SOME_ENDS;
         if (reportable && mReported.compareTo(possible) < 0) {
-            reportState(possible);
+            reportState(possible, renewed.workerClockMillis(), sentAtMillis);
         } else if (mReported != Reported.NOTHING && !newEnds.isEmpty()) {
             sendToOwner(new NodeMessage.Ends(mWorker.id(), newEnds));
         }
@@ -390,8 +396,25 @@
      * Reports the runs and ends to the owner. While the worker has more ends than it can list, the
      * report is incomplete; it lets the owner store these ends, after which the worker lists more.
      */
-    private void reportState(Reported reported) {
+    private void reportState(Reported reported, long workerClockMillis, long requestedAtMillis) {
         mReported = reported;
+        mLog.record(
+                "worker.reported",
+                mWorker.id(),
+                "term",
+                mTerm,
+                "extent",
+                reported,
+                "list_age_ms",
+                mClock.monotonicMillis() - requestedAtMillis,
+                "worker_clock",
+                workerClockMillis,
+                "starting",
+                mRuns.starting().size(),
+                "running",
+                mRuns.running().size(),
+                "ended",
+                mRuns.unacknowledged().size());
         mOwner.send(
                 new NodeMessage.Report(
                         new AgentReport(
@@ -475,12 +498,13 @@
 
     private void handleStartReply(StartOrder order, Run run, StartReply reply) {
         if (mRuns.find(run.mTask, run.mNumber) != run) {
+            mLog.record("task.start_ignored", run.mTask, "run", run.mNumber, "answer", reply);
             return;
         }
         switch (reply) {
-            case StartReply.Started ignored -> {
+            case StartReply.Started started -> {
                 run.markStarted(mClock.monotonicMillis());
-                reportStarted(order);
+                reportStarted(order, started);
                 mThrottle.apply(mWorker.id(), mTerm);
             }
             case StartReply.Refused refused -> {
@@ -492,7 +516,17 @@
             }
             case StartReply.NoAnswer none -> {
                 run.mUnanswered = true;
-                mLog.record("task.start_unanswered", run.mTask, "cause", none.reason());
+                mLog.record(
+                        "task.start_unanswered",
+                        run.mTask,
+                        "run",
+                        run.mNumber,
+                        "worker",
+                        mWorker.id(),
+                        "deadline",
+                        run.mDeadlineMillis,
+                        "cause",
+                        none.reason());
             }
         }
     }
@@ -504,20 +538,31 @@
     }
 
     /** Reports a start; the owner waits for nothing that depends on it, so it is not urgent. */
-    private void reportStarted(StartOrder order) {
-        logOutcome(order, StartOutcome.STARTED, "");
+    private void reportStarted(StartOrder order, StartReply.Started reply) {
+        mLog.record(
+                "task.start",
+                order.task(),
+                "run",
+                order.run(),
+                "outcome",
+                StartOutcome.STARTED,
+                "worker",
+                mWorker.id(),
+                "answered_by",
+                optionalText(reply.incarnation()),
+                "worker_clock",
+                optionalText(reply.workerClockMillis()));
         if (mOwner != null && mReported == Reported.ALL_RUNS) {
             mOwner.sendLater(
                     new NodeMessage.Outcome(order.task(), order.run(), StartOutcome.STARTED));
         }
     }
 
-    private void reportOutcome(StartOrder order, StartOutcome outcome, String reason) {
-        logOutcome(order, outcome, reason);
-        sendToOwner(new NodeMessage.Outcome(order.task(), order.run(), outcome));
+    private static String optionalText(OptionalLong value) {
+        return value.isPresent() ? Long.toString(value.getAsLong()) : "unknown";
     }
 
-    private void logOutcome(StartOrder order, StartOutcome outcome, String reason) {
+    private void reportOutcome(StartOrder order, StartOutcome outcome, String reason) {
         mLog.record(
                 "task.start",
                 order.task(),
@@ -527,6 +572,7 @@
                 outcome,
                 "reason",
                 reason);
+        sendToOwner(new NodeMessage.Outcome(order.task(), order.run(), outcome));
     }
 
     private void stopRun(TaskName task, long number) {
--- a/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.RunProfile;
@@ -35,12 +36,20 @@
 
     /**
      * Discards what the worker has listed, after it has started again under its identifier. Start
-     * orders without an outcome are kept, as the new incarnation may still carry them out.
+     * orders without an outcome are kept, as the new incarnation may still carry them out. Returns
+     * the discarded runs.
      */
-    void clearListed() {
-        mRuns.values().removeIf(run -> run.mStarted);
+    List<Run> clearListed() {
+        List<Run> discarded = removeIf(run -> run.mStarted);
         mRuns.values().forEach(run -> run.mDeadlineMillis = UNKNOWN_DEADLINE);
         clearEnds();
+        return discarded;
+    }
+
+    private List<Run> removeIf(Predicate<Run> condition) {
+        List<Run> removed = mRuns.values().stream().filter(condition).toList();
+        removed.forEach(this::remove);
+        return removed;
     }
 
     private void clearEnds() {
@@ -82,16 +91,15 @@
 
     /**
      * Removes the started runs that are missing from a worker's complete list of runs and that
-     * started before the list was requested.
+     * started before the list was requested. Returns the removed runs.
      */
-    void removeAbsent(List<RunStatus> rows, long requestedAtMillis) {
+    List<Run> removeAbsent(List<RunStatus> rows, long requestedAtMillis) {
         Set<TaskName> listed = rows.stream().map(RunStatus::task).collect(Collectors.toSet());
-        mRuns.values()
-                .removeIf(
-                        run ->
-                                run.mStarted
-                                        && run.mStartedAtMillis < requestedAtMillis
-                                        && !listed.contains(run.mTask));
+        return removeIf(
+                run ->
+                        run.mStarted
+                                && run.mStartedAtMillis < requestedAtMillis
+                                && !listed.contains(run.mTask));
     }
 
     /** Adds and updates the runs in a worker's list. */
--- a/node/src/main/java/org/knapweedbank/node/agent/StartReply.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/StartReply.java
@@ -1,13 +1,18 @@
 package org.knapweedbank.node.agent;
 
+import java.util.OptionalLong;
+
 /** Reply of a worker to a start order. */
 public sealed interface StartReply {
     /**
      * The worker has started the run.
      *
-     * @param clock time of the worker's clock in milliseconds
+     * @param workerClockMillis time of the worker's clock, empty if the answer can't be read
+     * @param incarnation start of the answering worker's process in Unix milliseconds, empty if the
+     *     answer does not name it
      */
-    record Started(long clock) implements StartReply {}
+    record Started(OptionalLong workerClockMillis, OptionalLong incarnation)
+            implements StartReply {}
 
     /**
      * The order was refused and will not be carried out.
--- a/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.RunStatus;
@@ -20,7 +21,7 @@
     final List<RunStatus> mRunning = new ArrayList<>();
     final List<EndedRun> mEnded = new ArrayList<>();
     private final Clock mClock;
-    StartReply mStartReply = new StartReply.Started(0);
+    StartReply mStartReply = new StartReply.Started(OptionalLong.empty(), OptionalLong.empty());
     boolean mSilent;
     boolean mListsComplete = true;
     long mIncarnation = 1;
--- a/node/src/test/java/org/knapweedbank/node/batch/SimulatedWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/SimulatedWorker.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Random;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -201,7 +202,9 @@
         double checkpoint =
                 order.checkpoint().isEmpty() ? 0 : Double.parseDouble(order.checkpoint());
         mRuns.put(order.task(), new Run(order.run(), mProfiles.apply(order.task()), checkpoint));
-        done.accept(new StartReply.Started(mClock.monotonicMillis()));
+        done.accept(
+                new StartReply.Started(
+                        OptionalLong.of(mClock.monotonicMillis()), OptionalLong.empty()));
     }
 
     @Override
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedRun;
@@ -161,7 +162,8 @@
         if (mAnswersLost) {
             mTimers.after(ANSWER_TIMEOUT, () -> done.accept(new StartReply.NoAnswer("lost")));
         } else {
-            done.accept(new StartReply.Started(clockMillis()));
+            done.accept(
+                    new StartReply.Started(OptionalLong.of(clockMillis()), OptionalLong.empty()));
         }
     }
 
