--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobQueue;
@@ -172,6 +173,27 @@
         assertThat(mHistory.mRepeated).isEmpty();
     }
 
+    /**
+     * Guards against a second run of a task that started on a restarted worker after its first
+     * list.
+     */
+    @Tag("known-red")
+    @Test
+    void taskStartedAfterFirstListOfRestartedWorkerDoesNotRunAgain() {
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofSeconds(1));
+        mVms.forEach(vm -> vm.mWorker.mRenewalAnswerDelay = Duration.ofMillis(100));
+        for (VmFixture vm : mVms) {
+            String id = vm.mWorker.info().id().id();
+            vm.mWorker.crash();
+            mTimers.advance(Duration.ofMillis(5));
+            vm.startWorker(id, Duration.ZERO);
+            submitJobsFor(Duration.ofMillis(300), Duration.ofMillis(20));
+            mTimers.advance(Duration.ofSeconds(5));
+        }
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
+    }
+
     /** Starts the owner of the next term after a second in which there is none. */
     private void changeOwner() {
         mOwnership.stop();
@@ -307,7 +329,10 @@
     }
 
     private void submitJobsFor(Duration duration) {
-        Duration interval = Duration.ofMillis(250);
+        submitJobsFor(duration, Duration.ofMillis(250));
+    }
+
+    private void submitJobsFor(Duration duration, Duration interval) {
         for (long i = 0; i < duration.dividedBy(interval); i++) {
             submit("job" + mSubmittedJobs++);
             mTimers.advance(interval);
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -49,6 +49,9 @@
     /** True while the worker carries out all calls and no answer of it arrives. */
     boolean mAnswersLost;
 
+    /** Time that an answer to a renewal takes; answers to other calls overtake it. */
+    Duration mRenewalAnswerDelay = Duration.ZERO;
+
     /** Maximum number of ends in a reply. */
     int mMaxListedEnds = 500;
 
@@ -216,15 +219,19 @@
                         .map(entry -> status(entry.getKey(), entry.getValue()))
                         .toList();
         List<EndedRun> ended = mEnds.stream().limit(mMaxListedEnds).toList();
-        renewal.mDone()
-                .accept(
-                        new LeaseRenewalReply.Renewed(
-                                clockMillis(),
-                                mIncarnation,
-                                running,
-                                ended,
-                                true,
-                                ended.size() < mMaxListedEnds));
+        LeaseRenewalReply reply =
+                new LeaseRenewalReply.Renewed(
+                        clockMillis(),
+                        mIncarnation,
+                        running,
+                        ended,
+                        true,
+                        ended.size() < mMaxListedEnds);
+        if (mRenewalAnswerDelay.isZero()) {
+            renewal.mDone().accept(reply);
+        } else {
+            mTimers.after(mRenewalAnswerDelay, () -> renewal.mDone().accept(reply));
+        }
     }
 
     @Override
