--- a/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -20,7 +20,6 @@
 /** VM with a worker and an agent that is linked to the current owner, both of which can fail. */
 final class VmFixture {
     private static final Duration STATUS_INTERVAL = Duration.ofMillis(1_500);
-    private static final Duration LINK_DELAY = Duration.ofMillis(1);
     private static final AgentSettings SETTINGS =
             new AgentSettings(
                     Duration.ofSeconds(6),
@@ -40,6 +39,9 @@
 
     final WorkerStandIn mWorker;
 
+    /** Time that a message between agent and owner takes. */
+    Duration mLinkDelay = Duration.ofMillis(1);
+
     VmFixture(
             String name,
             ManualTimers timers,
@@ -73,7 +75,8 @@
                 };
     }
 
-    private void sendStatusReport() {
+    /** Delivers a status report of the worker if it is up. */
+    void sendStatusReport() {
         if (mWorker.up()) {
             receiveStatusReport(mWorker.info());
         }
@@ -163,7 +166,7 @@
                 @Override
                 public void send(NodeMessage message) {
                     mTimers.after(
-                            LINK_DELAY,
+                            mLinkDelay,
                             () -> {
                                 if (!mCut) {
                                     receiver.accept(message);
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -194,6 +194,84 @@
         assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
     }
 
+    /** Guards against a second run of a task that an earlier process of the agent has ordered. */
+    @Tag("known-red")
+    @Test
+    void taskOrderedByEarlierAgentProcessDoesNotRunAgainWhileListsAreOld() {
+        submit("a");
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofMillis(1_200));
+        mTimers.advance(Duration.ofMillis(200));
+        mVms.forEach(VmFixture::killAgent);
+        mVms.forEach(VmFixture::startAgent);
+        mVms.forEach(VmFixture::sendStatusReport);
+        mTimers.advance(Duration.ofMillis(500));
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        mVms.forEach(vm -> vm.mWorker.mAnswersLost = true);
+        mTimers.advance(Duration.ofMillis(4_500));
+        mVms.forEach(vm -> vm.mWorker.mAnswersLost = false);
+        mTimers.advance(Duration.ofSeconds(20));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
+    /**
+     * Guards against a second run of a task whose order is under way while its VM reports again.
+     */
+    @Tag("known-red")
+    @Test
+    void taskOrderedBetweenTwoReportsDoesNotRunAgain() {
+        startShortJobs();
+        mOwnership.stop();
+        mVms.forEach(VmFixture::disconnect);
+        mTimers.advance(Duration.ofSeconds(3));
+        mVms.forEach(vm -> vm.mLinkDelay = Duration.ofMillis(50));
+        changeOwner();
+        submitJobsFor(Duration.ofSeconds(1), Duration.ofMillis(90));
+        mTimers.advance(Duration.ofSeconds(40));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
+    }
+
+    /** Guards against a second run of a task whose start and end the worker has not listed yet. */
+    @Tag("known-red")
+    @Test
+    void unansweredStartWhoseEndIsNotListedYetDoesNotRunAgain() {
+        mVms.forEach(vm -> vm.mWorker.mMaxListedEnds = 5);
+        mVms.forEach(vm -> vm.mWorker.mStartAnswersLost = true);
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofMillis(20));
+        for (int i = 0; i < 4; i++) {
+            submit("job" + mSubmittedJobs++);
+        }
+        mTimers.advance(Duration.ofMillis(100));
+        mStore.mUnavailable = true;
+        mTimers.advance(Duration.ofSeconds(8));
+        mVms.forEach(vm -> vm.mWorker.mStartAnswersLost = false);
+        mStore.mUnavailable = false;
+        mTimers.advance(Duration.ofSeconds(10));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).hasSize(mSubmittedJobs * TASKS);
+    }
+
+    /**
+     * Guards against a second run of a task whose order outlives the worker that it was sent to.
+     */
+    @Tag("known-red")
+    @Test
+    void orderCarriedOutByNextIncarnationDoesNotRunTaskTwice() {
+        mTimers.advance(Duration.ofSeconds(20));
+        submit("a");
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(5));
+        mTimers.advance(Duration.ofMillis(500));
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        VmFixture restarted = mVms.get(0);
+        restarted.mWorker.crash();
+        restarted.mWorker.mDraining = true;
+        restarted.startWorker("w-0", Duration.ofMillis(500));
+        mTimers.advance(Duration.ofSeconds(30));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
     /** Starts the owner of the next term after a second in which there is none. */
     private void changeOwner() {
         mOwnership.stop();
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -35,6 +35,8 @@
     private final RunHistory mHistory;
     private final Map<TaskName, Run> mRuns = new HashMap<>();
     private final List<EndedRun> mEnds = new ArrayList<>();
+    private final Map<TaskName, Long> mHighestStoppedRuns = new HashMap<>();
+    private long mHighestTerm;
     private String mId = "";
     private long mIncarnation;
     private long mStartedAtMillis;
@@ -49,6 +51,15 @@
     /** True while the worker carries out all calls and no answer of it arrives. */
     boolean mAnswersLost;
 
+    /** True while the worker reports that it drains; it still takes orders. */
+    boolean mDraining;
+
+    /** True while no answer to a start order arrives. */
+    boolean mStartAnswersLost;
+
+    /** Time after which start orders are carried out, without an answer; zero for at once. */
+    Duration mStartDelay = Duration.ZERO;
+
     /** Time that an answer to a renewal takes; answers to other calls overtake it. */
     Duration mRenewalAnswerDelay = Duration.ZERO;
 
@@ -82,6 +93,8 @@
         mRuns.keySet().forEach(mHistory::ended);
         mRuns.clear();
         mEnds.clear();
+        mHighestStoppedRuns.clear();
+        mHighestTerm = 0;
         List<Renewal> broken = List.copyOf(mWaitingRenewals);
         mWaitingRenewals.clear();
         broken.forEach(
@@ -105,7 +118,7 @@
                 new Resources(32_000, 100_000, 0),
                 List.of("a", "r"),
                 "r",
-                false);
+                mDraining);
     }
 
     private long clockMillis() {
@@ -159,10 +172,12 @@
             done.accept(new StartReply.Refused(cause));
             return;
         }
-        mLeaseEndMillis = Math.max(mLeaseEndMillis, deadlineMillis);
-        mHistory.started(order.task());
-        mRuns.put(order.task(), new Run(order.run(), clockMillis()));
-        if (mAnswersLost) {
+        if (mStartDelay.isZero()) {
+            run(order, deadlineMillis);
+        } else {
+            mTimers.after(mStartDelay, () -> runLate(worker, order, deadlineMillis, term));
+        }
+        if (mAnswersLost || mStartAnswersLost || !mStartDelay.isZero()) {
             mTimers.after(ANSWER_TIMEOUT, () -> done.accept(new StartReply.NoAnswer("lost")));
         } else {
             done.accept(
@@ -170,8 +185,30 @@
         }
     }
 
+    private void run(StartOrder order, long deadlineMillis) {
+        mLeaseEndMillis = Math.max(mLeaseEndMillis, deadlineMillis);
+        mHistory.started(order.task());
+        mRuns.put(order.task(), new Run(order.run(), clockMillis()));
+    }
+
+    /** Carries out a delayed order, in whichever incarnation, unless it is late or barred. */
+    private void runLate(WorkerId worker, StartOrder order, long deadlineMillis, long term) {
+        boolean accepted =
+                isCalled(worker)
+                        && term >= mHighestTerm
+                        && clockMillis() <= deadlineMillis
+                        && order.run() > mHighestStoppedRuns.getOrDefault(order.task(), 0L)
+                        && !mRuns.containsKey(order.task());
+        if (accepted) {
+            run(order, deadlineMillis);
+        }
+    }
+
     @Override
     public void stop(WorkerId worker, TaskName task, long run, long term, Consumer<Boolean> done) {
+        if (isCalled(worker)) {
+            mHighestStoppedRuns.merge(task, run, Math::max);
+        }
         boolean running = isCalled(worker) && mRuns.containsKey(task);
         if (running && mRuns.get(task).mNumber() == run) {
             end(task, EndKind.STOPPED);
@@ -189,6 +226,7 @@
             done.accept(new LeaseRenewalReply.OtherWorker());
             return;
         }
+        mHighestTerm = Math.max(mHighestTerm, request.term());
         mEnds.removeIf(end -> end.number() <= request.acknowledgedEnd());
         request.leaseEndMillis().ifPresent(end -> mLeaseEndMillis = Math.max(mLeaseEndMillis, end));
         Renewal renewal = new Renewal(request, done);
