Report no lists to an owner that were requested under an earlier term

A request under the owner's term raises the worker's fencing token, after which orders of earlier terms can't start there. The reply handler compared the term at the time of the reply with itself, so a list that was requested under the former owner could become the report to the new one, and an order of the former owner, without an answer, could start after it.

The term is noted when the request is sent. AgentSessionTest.listsRequestedUnderEarlierTermAreNotReported failed before.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -281,6 +281,7 @@
                 leaseEndMillis > mAuthority.workerClockMillis() && mAuthority.hasReading()
                         ? OptionalLong.of(leaseEndMillis)
                         : OptionalLong.empty();
+        ListRequest lists = new ListRequest(mTerm, sentAtMillis);
         WorkerId worker = mWorker.id();
         // The worker may have started again since it last answered. A new incarnation would discard
         // ends that nobody has read, as it numbers them from 1 again.
@@ -288,11 +289,11 @@
         LeaseRenewalRequest request =
                 new LeaseRenewalRequest(worker, mTerm, acknowledgedEnd, newLeaseEndMillis, maxWait);
         mWorkerClient.renewLease(
-                request, reply -> handleRenewalReply(pollId, worker, mTerm, sentAtMillis, reply));
+                request, reply -> handleRenewalReply(pollId, worker, lists, reply));
     }
 
     private void handleRenewalReply(
-            int pollId, WorkerId worker, long term, long sentAtMillis, LeaseRenewalReply reply) {
+            int pollId, WorkerId worker, ListRequest lists, LeaseRenewalReply reply) {
         if (mWorker == null || !mWorker.id().equals(worker)) {
             return;
         }
@@ -307,14 +308,14 @@
         switch (reply) {
             case LeaseRenewalReply.Renewed renewed -> {
                 if (mWorkerAnswers && mAuthority.updateWorkerClock(renewed.workerClockMillis())) {
-                    applyRunListsSafely(renewed, term, sentAtMillis);
+                    applyRunListsSafely(renewed, lists);
                 }
                 pollAfter(
                         pollId,
                         renewed.ended().isEmpty() ? Duration.ZERO : MAX_ACKNOWLEDGEMENT_WAIT);
             }
             case LeaseRenewalReply.Fenced ignored -> {
-                handleFenced(worker, term);
+                handleFenced(worker, lists.term());
                 pollAfter(pollId, TICK_INTERVAL);
             }
             case LeaseRenewalReply.OtherWorker ignored -> pollAfter(pollId, RETRY_DELAY);
@@ -358,22 +359,21 @@
     }
 
     /** Applies the worker's lists of runs; a failure must not end the renewals of the lease. */
-    private void applyRunListsSafely(
-            LeaseRenewalReply.Renewed renewed, long term, long sentAtMillis) {
+    private void applyRunListsSafely(LeaseRenewalReply.Renewed renewed, ListRequest request) {
         try {
-            applyRunLists(renewed, term, sentAtMillis);
+            applyRunLists(renewed, request);
         } catch (RuntimeException e) {
             mLog.record("agent.reply_failed", mWorker.id(), "cause", e);
         }
     }
 
     /** Applies the worker's lists of runs, then reports them and adjusts the pace of fillers. */
-    private void applyRunLists(LeaseRenewalReply.Renewed renewed, long term, long sentAtMillis) {
+    private void applyRunLists(LeaseRenewalReply.Renewed renewed, ListRequest request) {
         long nowMillis = mClock.monotonicMillis();
         mRuns.updateRunning(renewed.running(), nowMillis);
         List<EndedRun> newEnds = mRuns.addEnds(renewed.ended());
         if (renewed.conclusive()) {
-            mRuns.removeAbsent(renewed.running(), sentAtMillis)
+            mRuns.removeAbsent(renewed.running(), request.sentAtMillis())
                     .forEach(run -> logRemoval(run, "not in the worker's lists"));
             expireUnansweredStarts(renewed.workerClockMillis());
         }
@@ -382,10 +382,13 @@
             mReported = Reported.NOTHING;
         }
         boolean reportable =
-                renewed.complete() && mAttributesKnown && term == mTerm && mOwner != null;
+                renewed.complete()
+                        && mAttributesKnown
+                        && request.term() == mTerm
+                        && mOwner != null;
         Reported possible = renewed.allEnds() ? Reported.ALL_RUNS : Reported.SOME_ENDS;
         if (reportable && mReported.compareTo(possible) < 0) {
-            reportState(possible, renewed.workerClockMillis(), sentAtMillis);
+            reportState(possible, renewed.workerClockMillis(), request);
         } else if (mReported != Reported.NOTHING && !newEnds.isEmpty()) {
             sendToOwner(new NodeMessage.Ends(mWorker.id(), newEnds));
         }
@@ -396,7 +399,7 @@
      * Reports the runs and ends to the owner. While the worker has more ends than it can list, the
      * report is incomplete; it lets the owner store these ends, after which the worker lists more.
      */
-    private void reportState(Reported reported, long workerClockMillis, long requestedAtMillis) {
+    private void reportState(Reported reported, long workerClockMillis, ListRequest request) {
         mReported = reported;
         mLog.record(
                 "worker.reported",
@@ -406,7 +409,7 @@
                 "extent",
                 reported,
                 "list_age_ms",
-                mClock.monotonicMillis() - requestedAtMillis,
+                mClock.monotonicMillis() - request.sentAtMillis(),
                 "worker_clock",
                 workerClockMillis,
                 "starting",
@@ -675,6 +678,14 @@
         }
     }
 
+    /**
+     * Circumstances under which the worker's lists were requested.
+     *
+     * @param term term of the owner
+     * @param sentAtMillis monotonic time in milliseconds
+     */
+    private record ListRequest(long term, long sentAtMillis) {}
+
     /** Accepts the worker that has answered a call as the one of this VM. */
     private final class ProbeListener implements WorkerProbe.Listener {
         @Override
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
@@ -128,6 +129,20 @@
                 .isTrue();
     }
 
+    /** Guards against a report to a new owner by lists that bar no orders of its predecessor. */
+    @Test
+    void listsRequestedUnderEarlierTermAreNotReported() {
+        Consumer<LeaseRenewalReply> earlierRequest = mWorker.mWaitingReply;
+        mOwner.mMessages.clear();
+        mWorker.mSilent = true;
+        mSession.connected(mOwner, 4);
+        mWorker.mSilent = false;
+        mWorker.reply(earlierRequest);
+        assertThat(mOwner.messagesOf(NodeMessage.Report.class)).isEmpty();
+        advanceMillis(1_000);
+        assertThat(mOwner.messagesOf(NodeMessage.Report.class)).hasSize(1);
+    }
+
     /** Guards against leases that extend beyond the owner's grants. */
     @Test
     void leaseIsNotExtendedWithoutOwnersGrants() {
--- a/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
@@ -84,7 +84,7 @@
         done.accept(true);
     }
 
-    private void reply(Consumer<LeaseRenewalReply> done) {
+    void reply(Consumer<LeaseRenewalReply> done) {
         done.accept(
                 mSilent
                         ? new LeaseRenewalReply.NoAnswer("silent")
