Bar unconfirmed orders on a restarted worker whose agent has restarted too

A VM that restarts as a whole loses the agent's memory of orders without an answer, so nothing barred them on the worker's next incarnation under the same identifier.

When an agent reports a new incarnation, the owner stops the runs on the earlier one whose starts were not confirmed and which the report doesn't hold. A run that is on no worker can't start after that.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -117,10 +117,12 @@
             return;
         }
         logReport(vm, report, coverage);
+        List<Run> unconfirmedRuns = unconfirmedOnEarlierIncarnation(vm, report.worker().get().id());
         acceptWorker(vm, report.worker().get());
         report.ended().forEach(end -> mRunTracker.handleEnd(vm, end));
         report.running().forEach(listedRun -> reconcile(vm, listedRun, true));
         report.starting().forEach(listedRun -> reconcile(vm, listedRun, false));
+        unconfirmedRuns.forEach(run -> barUnlessAdopted(vm, run));
         if (report.listed()) {
             resolve(vm.mAgent);
             Stream<RunStatus> present =
@@ -133,6 +135,30 @@
         mState.mOutput.acknowledgeEnds(vm.mAgent, vm.advanceAcknowledgedEnd());
     }
 
+    /** Returns the runs on an earlier incarnation of a worker whose starts are not confirmed. */
+    private static List<Run> unconfirmedOnEarlierIncarnation(Vm vm, WorkerId worker) {
+        boolean restarted =
+                vm.mWorker != null
+                        && !vm.hasWorker(worker)
+                        && vm.mWorker.id().id().equals(worker.id());
+        return restarted
+                ? vm.mRuns.values().stream().filter(run -> !run.mStartConfirmed).toList()
+                : List.of();
+    }
+
+    /**
+     * Stops a run before it starts, unless the present incarnation of the worker lists it. Its
+     * order may still reach that incarnation, and an agent that has started again doesn't know of
+     * it.
+     */
+    private void barUnlessAdopted(Vm vm, Run run) {
+        Run current = run.mTask.mRun;
+        boolean adopted = current != null && current.mVm == vm && current.mNumber == run.mNumber;
+        if (!adopted) {
+            mState.mOutput.stop(vm.mAgent, run.mTask.mName, run.mNumber);
+        }
+    }
+
     private void logReport(Vm vm, AgentReport report, OrderCoverage coverage) {
         mState.mLog.record(
                 "vm.report",
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -288,6 +288,25 @@
         assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
     }
 
+    /** Guards against a second run of a task whose order outlives both its agent and its worker. */
+    @Test
+    void orderThatOutlivesAgentAndWorkerDoesNotRunTaskTwice() {
+        mTimers.advance(Duration.ofSeconds(20));
+        VmFixture restarted = mVms.get(0);
+        submit("a");
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(5));
+        mTimers.advance(Duration.ofMillis(500));
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        restarted.mWorker.crash();
+        restarted.killAgent();
+        restarted.startAgent();
+        restarted.mWorker.mDraining = true;
+        restarted.startWorker("w-0", Duration.ofMillis(500));
+        mTimers.advance(Duration.ofSeconds(30));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
     /** Starts the owner of the next term after a second in which there is none. */
     private void changeOwner() {
         mOwnership.stop();
