Keep the runs of a worker whose probe is answered after it is known

A restart can be seen by a renewal before the call that confirms the announced incarnation is answered. That late answer made the agent take the same incarnation for a new one: it dropped the started runs and reported an older list, which the owner takes for complete.

A late answer of the known incarnation only updates its attributes.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -723,3 +723,7 @@
         }
     }
 }
+            if (mWorker != null && mWorker.id().equals(info.id())) {
+                updateWorker(report);
+                return;
+            }
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -143,6 +143,45 @@
         assertThat(mOwner.messagesOf(NodeMessage.Report.class)).hasSize(1);
     }
 
+    /**
+     * Guards against runs that are dropped because a call to a known incarnation is answered late.
+     */
+    @Test
+    void lateAnswerOfKnownIncarnationDropsNoRun() {
+        mWorker.mSilent = true;
+        report(info(2, false));
+        mWorker.mSilent = false;
+        Consumer<LeaseRenewalReply> probe = mWorker.mLatestRequest;
+        mWorker.mIncarnation = 2;
+        mWorker.answerWaitingRenewal();
+        report(info(2, false));
+        advanceMillis(1_000);
+        mSession.received(
+                new NodeMessage.Start(new WorkerId("w", 2), mOwner.mLatestPing, order(1, false)));
+        mOwner.mMessages.clear();
+        mWorker.reply(probe);
+        advanceMillis(1_000);
+        assertThat(mOwner.messagesOf(NodeMessage.Report.class)).isEmpty();
+    }
+
+    /**
+     * Guards against orders to a restarted worker with deadlines on the clock of its predecessor.
+     */
+    @Test
+    void clockInAnswerToStartShowsRestart() {
+        mWorker.mStartReply = new StartReply.Started(OptionalLong.of(1_000), OptionalLong.empty());
+        mWorker.mSilent = true;
+        orderStart(mOwner.mLatestPing, order(1, false));
+        int renewals = mWorker.mRenewals.size();
+        advanceMillis(1_000);
+        assertThat(
+                        mWorker.mRenewals.subList(renewals - 1, mWorker.mRenewals.size()).stream()
+                                .allMatch(renewal -> renewal.leaseEndMillis().isEmpty()))
+                .isTrue();
+        orderStart(mOwner.mLatestPing, order(2, false));
+        assertThat(lastOutcome()).isEqualTo(StartOutcome.NOT_PERMITTED);
+    }
+
     /** Guards against leases that extend beyond the owner's grants. */
     @Test
     void leaseIsNotExtendedWithoutOwnersGrants() {
--- a/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/FakeWorker.java
@@ -26,6 +26,7 @@
     boolean mListsComplete = true;
     long mIncarnation = 1;
     Consumer<LeaseRenewalReply> mWaitingReply;
+    Consumer<LeaseRenewalReply> mLatestRequest;
 
     FakeWorker(Clock clock) {
         mClock = clock;
@@ -55,6 +56,7 @@
     @Override
     public void renewLease(LeaseRenewalRequest request, Consumer<LeaseRenewalReply> done) {
         mRenewals.add(request);
+        mLatestRequest = done;
         mEnded.removeIf(end -> end.number() <= request.acknowledgedEnd());
         if (request.maxWait().isZero()) {
             reply(done);
