Learn of a restart from the answer to a start, and extend no lease before an answer

Deadlines are times on the clock of an incarnation. Until the agent knew of a restart, its renewals and starts carried those of the former clock, which lie far ahead on the new one, so leases there lasted to the maximum, beyond the end that the owner counts on.

The clock in the answer to a start, or its incarnation, tells that another incarnation took the order. A renewal that follows an unanswered one, or such an answer, extends no lease, as it already acknowledged no end.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -284,13 +284,14 @@
         long sentAtMillis = mClock.monotonicMillis();
         long leaseEndMillis = mAuthority.leaseEndMillis();
         OptionalLong newLeaseEndMillis =
-                leaseEndMillis > mAuthority.workerClockMillis() && mAuthority.hasReading()
+                mWorkerAnswers && leaseEndMillis > mAuthority.workerClockMillis()
                         ? OptionalLong.of(leaseEndMillis)
                         : OptionalLong.empty();
         ListRequest lists = new ListRequest(mTerm, sentAtMillis, mAuthority.newestGrant());
         WorkerId worker = mWorker.id();
         // The worker may have started again since it last answered. A new incarnation would discard
-        // ends that nobody has read, as it numbers them from 1 again.
+        // ends that nobody has read, as it numbers them from 1 again, and would take a deadline on
+        // the clock of its predecessor for one far ahead.
         long acknowledgedEnd = mWorkerAnswers ? mRuns.highestAcknowledged() : 0;
         LeaseRenewalRequest request =
                 new LeaseRenewalRequest(worker, mTerm, acknowledgedEnd, newLeaseEndMillis, maxWait);
@@ -442,7 +443,7 @@
      * were made when the worker could no longer carry them out.
      */
     private void expireUnansweredStarts(long workerClockMillis, ListRequest request) {
-        mUnansweredStarts.bar(mWorker.id(), mTerm, mRuns);
+        mUnansweredStarts.revoke(mWorker.id(), mTerm, mRuns);
         mRuns.runs().stream()
                 .filter(run -> !run.mStarted && run.mUnanswered)
                 .filter(run -> canNoLongerStart(run, workerClockMillis, request))
@@ -475,6 +476,7 @@
                         mAuthority.leaseEndMillis(),
                         startDeadlineMillis(mAuthority.workerClockMillis()));
         Run run = mRuns.addOrdered(order, mWorker.id(), deadlineMillis, mClock.monotonicMillis());
+        run.mClockReadingMillis = mAuthority.latestReadingMillis();
         mWorkerClient.start(
                 mWorker.id(),
                 order,
@@ -517,6 +519,9 @@
         if (reply instanceof StartReply.NoAnswer) {
             mUnansweredStarts.add(run);
         }
+        if (reply instanceof StartReply.Started started) {
+            detectRestart(run, started);
+        }
         if (mRuns.find(run.mTask, run.mNumber) != run) {
             mLog.record("task.start_ignored", run.mTask, "run", run.mNumber, "answer", reply);
             return;
@@ -551,6 +556,21 @@
         }
     }
 
+    /** Handles that the answer to a start shows another incarnation than the order was sent to. */
+    private void detectRestart(Run run, StartReply.Started reply) {
+        WorkerId orderedFrom = run.mOrderedFrom;
+        if (mWorker == null || !mWorker.id().equals(orderedFrom)) {
+            return;
+        }
+        long clockMillis = reply.workerClockMillis().orElse(Long.MAX_VALUE);
+        if (reply.incarnation().orElse(orderedFrom.incarnation()) > orderedFrom.incarnation()) {
+            handleRestart(reply.incarnation().getAsLong());
+        } else if (clockMillis < run.mClockReadingMillis) {
+            mWorkerAnswers = false;
+            restartPolling();
+        }
+    }
+
     private void reportNotStarted(Run run, StartOutcome outcome, String reason) {
         mRuns.remove(run);
         mLog.record("task.not_started", run.mTask, "run", run.mNumber, "reason", reason);
@@ -710,6 +730,10 @@
         @Override
         public void answered(StatusReport report) {
             WorkerInfo info = report.worker();
+            if (mWorker != null && mWorker.id().equals(info.id())) {
+                updateWorker(report);
+                return;
+            }
             mLog.record("worker.joined", info.id(), "service", info.service());
             replaceWorker(info);
             mAttributesKnown = true;
@@ -723,7 +747,3 @@
         }
     }
 }
-            if (mWorker != null && mWorker.id().equals(info.id())) {
-                updateWorker(report);
-                return;
-            }
--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
@@ -57,6 +57,13 @@
         return true;
     }
 
+    /**
+     * Returns the latest reading of the worker's clock, {@link Long#MIN_VALUE} if there is none.
+     */
+    long latestReadingMillis() {
+        return mWorkerClockMillis;
+    }
+
     boolean hasReading() {
         return mWorkerClockMillis != Long.MIN_VALUE;
     }
--- a/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/RunTable.java
@@ -160,6 +160,9 @@
         /** Worker that the start was ordered from; null if the run is known from lists only. */
         WorkerId mOrderedFrom;
 
+        /** Latest reading of that worker's clock when the start was ordered. */
+        long mClockReadingMillis;
+
         /**
          * Time on that worker's clock after which the worker no longer carries out the start order.
          */
