Forget lost orders when others are added, and name revoked orders so

Orders without an answer were removed only when a conclusive list came. A link that replaces another marks its VM as disconnected, so that no orders are placed there and dropped before its report.

--- a/jobs/src/main/java/org/knapweedbank/jobs/OrderCoverage.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/OrderCoverage.java
@@ -14,7 +14,7 @@
      * @param requestedAfterMillis time on the owner's monotonic clock in milliseconds; the lists
      *     were requested after it
      */
-    record OrdersSettledBefore(long requestedAfterMillis) implements OrderCoverage {}
+    record ListsRequestedAfter(long requestedAfterMillis) implements OrderCoverage {}
 
     /** No orders, as the age of the lists is not known. */
     record NoOrders() implements OrderCoverage {}
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -122,7 +122,7 @@
         report.ended().forEach(end -> mRunTracker.handleEnd(vm, end));
         report.running().forEach(listedRun -> reconcile(vm, listedRun, true));
         report.starting().forEach(listedRun -> reconcile(vm, listedRun, false));
-        unconfirmedRuns.forEach(run -> barUnlessAdopted(vm, run));
+        unconfirmedRuns.forEach(run -> revokeUnlessAdopted(vm, run));
         if (report.listed()) {
             resolve(vm.mAgent);
             Stream<RunStatus> present =
@@ -151,7 +151,7 @@
      * order may still reach that incarnation, and an agent that has started again doesn't know of
      * it.
      */
-    private void barUnlessAdopted(Vm vm, Run run) {
+    private void revokeUnlessAdopted(Vm vm, Run run) {
         Run current = run.mTask.mRun;
         boolean adopted = current != null && current.mVm == vm && current.mNumber == run.mNumber;
         if (!adopted) {
@@ -494,7 +494,7 @@
     private long coveredBefore(OrderCoverage coverage) {
         return switch (coverage) {
             case OrderCoverage.AllOrders all -> Long.MAX_VALUE;
-            case OrderCoverage.OrdersSettledBefore settled ->
+            case OrderCoverage.ListsRequestedAfter settled ->
                     settled.requestedAfterMillis() - mState.mSettings.orderTimeout().toMillis();
             case OrderCoverage.NoOrders none -> Long.MIN_VALUE;
         };
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -216,7 +216,7 @@
 
     /** Returns the coverage of lists that have just been requested. */
     OrderCoverage currentLists() {
-        return new OrderCoverage.OrdersSettledBefore(mClock.monotonicMillis());
+        return new OrderCoverage.ListsRequestedAfter(mClock.monotonicMillis());
     }
 
     /** Lets the owner answer the agent of a VM, which keeps its leases valid. */
--- a/node/src/main/java/org/knapweedbank/node/agent/UnansweredStarts.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/UnansweredStarts.java
@@ -13,11 +13,13 @@
 /**
  * Start orders that the worker has not answered. Such an order may be carried out seconds later,
  * even by the next incarnation under the worker's identifier. Its deadline means another time on
- * the clock of that incarnation, which doesn't know the fencing token either. A stop bars it there,
+ * the clock of that incarnation, which doesn't know the fencing token either. A stop revokes it,
  * since a worker refuses a run that it was told to stop.
  */
 final class UnansweredStarts {
-    /** Time after which a call without an answer is no longer carried out. */
+    /**
+     * Time after which a call without an answer is taken to be lost; it may be held up for seconds.
+     */
     private static final Duration MAX_CALL_DELAY = Duration.ofSeconds(15);
 
     private final Clock mClock;
@@ -33,30 +35,35 @@
 
     /** Adds the order of a run whose call has ended without an answer. */
     void add(Run run) {
+        removeLost();
         mOrders.add(new Order(run, mClock.monotonicMillis()));
     }
 
     /**
-     * Bars the orders that were sent to earlier incarnations of a worker, unless it runs them or
+     * Revokes the orders that were sent to earlier incarnations of a worker, unless it runs them or
      * has accepted a stop already.
      *
      * @param worker the present incarnation
      * @param term term of the owner
      * @param runs runs that the worker has listed
      */
-    void bar(WorkerId worker, long term, RunTable runs) {
-        long oldestMillis = mClock.monotonicMillis() - MAX_CALL_DELAY.toMillis();
-        mOrders.removeIf(order -> order.mUnansweredAtMillis < oldestMillis);
+    void revoke(WorkerId worker, long term, RunTable runs) {
+        removeLost();
         mOrders.stream()
                 .filter(order -> order.mayReach(worker) && !order.isStopSentTo(worker))
                 .filter(order -> !runs.isStarted(order.mTask, order.mRun))
                 .forEach(order -> sendStop(order, worker, term));
     }
 
+    private void removeLost() {
+        long oldestMillis = mClock.monotonicMillis() - MAX_CALL_DELAY.toMillis();
+        mOrders.removeIf(order -> order.mUnansweredAtMillis < oldestMillis);
+    }
+
     private void sendStop(Order order, WorkerId worker, long term) {
-        mLog.record("task.bar", order.mTask, "run", order.mRun, "worker", worker);
+        mLog.record("task.revoke", order.mTask, "run", order.mRun, "worker", worker);
         order.mStopSentTo = worker;
-        order.mBarred = false;
+        order.mRevoked = false;
         mWorkerClient.stop(
                 worker,
                 order.mTask,
@@ -64,8 +71,8 @@
                 term,
                 accepted -> {
                     if (accepted) {
-                        order.mBarred = true;
-                        order.mBarredAtMillis = mClock.monotonicMillis();
+                        order.mRevoked = true;
+                        order.mRevokedAtMillis = mClock.monotonicMillis();
                     } else {
                         order.mStopSentTo = null;
                     }
@@ -81,10 +88,10 @@
     boolean isSettled(Run run, WorkerId worker, long requestedAtMillis) {
         Optional<Order> order =
                 mOrders.stream().filter(candidate -> candidate.isFor(run)).findFirst();
-        return order.isEmpty() || order.get().isBarred(worker, requestedAtMillis);
+        return order.isEmpty() || order.get().isRevoked(worker, requestedAtMillis);
     }
 
-    /** Order without an answer, and the stop that bars it. */
+    /** Order without an answer, and the stop that revokes it. */
     private static final class Order {
         private final TaskName mTask;
         private final long mRun;
@@ -94,8 +101,8 @@
         /** Incarnation to which a stop was sent last; null if none or if it got no answer. */
         private WorkerId mStopSentTo;
 
-        private boolean mBarred;
-        private long mBarredAtMillis;
+        private boolean mRevoked;
+        private long mRevokedAtMillis;
 
         Order(Run run, long unansweredAtMillis) {
             mTask = run.mTask;
@@ -119,8 +126,8 @@
             return worker.equals(mStopSentTo);
         }
 
-        boolean isBarred(WorkerId worker, long beforeMillis) {
-            return mBarred && isStopSentTo(worker) && mBarredAtMillis <= beforeMillis;
+        boolean isRevoked(WorkerId worker, long beforeMillis) {
+            return mRevoked && isStopSentTo(worker) && mRevokedAtMillis < beforeMillis;
         }
     }
 }
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -205,6 +205,7 @@
         AgentLink previous = mAgentLinks.put(hello.agent(), agent);
         if (previous != null) {
             previous.mLink.close("replaced by a newer link of the same agent");
+            mOwner.handleDisconnect(hello.agent());
         }
         link.send(new NodeMessage.Welcome(mTerm));
         return agent;
@@ -530,7 +531,7 @@
         private OrderCoverage coverage(long grant) {
             OptionalLong sentAtMillis = mGrantTimes.sentAtMillis(grant);
             return sentAtMillis.isPresent()
-                    ? new OrderCoverage.OrdersSettledBefore(sentAtMillis.getAsLong())
+                    ? new OrderCoverage.ListsRequestedAfter(sentAtMillis.getAsLong())
                     : new OrderCoverage.NoOrders();
         }
 
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -148,7 +148,7 @@
                                 progress.worker(),
                                 progress.starting(),
                                 progress.running(),
-                                new OrderCoverage.OrdersSettledBefore(mClock.monotonicMillis()));
+                                new OrderCoverage.ListsRequestedAfter(mClock.monotonicMillis()));
                 case NodeMessage.Ends ends ->
                         mOwner.handleEndedRuns(mId, ends.worker(), ends.ends());
                 case NodeMessage.Outcome outcome ->
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -205,7 +205,7 @@
         mLeaseEndMillis = Math.max(mLeaseEndMillis, Math.min(endMillis, maxEndMillis));
     }
 
-    /** Carries out a delayed order, in whichever incarnation, unless it is late or barred. */
+    /** Carries out a delayed order, in whichever incarnation, unless it is late or revoked. */
     private void runLate(WorkerId worker, StartOrder order, long deadlineMillis, long term) {
         boolean accepted =
                 isCalled(worker)
