Test hand-overs with orders of the former owner under way

No test played starts of a former owner around the new link, a start call that a worker gets after the new owner's first renewal, or a former owner that still has the link of an agent.

WorkerStandIn can delay start calls and refuses the calls of earlier terms, as workers do.

--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -43,12 +43,21 @@
     private final List<Renewal> mWaitingRenewals = new ArrayList<>();
     private boolean mUp;
 
+    /** Highest term that a call has carried; the worker refuses the calls of earlier ones. */
+    private long mHighestTerm;
+
     /** Time that each task takes. */
     Duration mTaskDuration = Duration.ofSeconds(12);
 
     /** True while the worker carries out all calls and no answer of it arrives. */
     boolean mAnswersLost;
 
+    /** Time after which a start call arrives. */
+    Duration mStartDelay = Duration.ZERO;
+
+    /** Number of start calls that have been under way for that time. */
+    int mDelayedStarts;
+
     /** Maximum number of ends in a reply. */
     int mMaxListedEnds = 500;
 
@@ -150,6 +159,24 @@
             long deadlineMillis,
             long term,
             Consumer<StartReply> done) {
+        if (mStartDelay.isZero()) {
+            carryOut(worker, order, deadlineMillis, term, done);
+        } else {
+            mDelayedStarts++;
+            mTimers.after(mStartDelay, () -> carryOut(worker, order, deadlineMillis, term, done));
+        }
+    }
+
+    private void carryOut(
+            WorkerId worker,
+            StartOrder order,
+            long deadlineMillis,
+            long term,
+            Consumer<StartReply> done) {
+        if (term < mHighestTerm) {
+            done.accept(new StartReply.Refused(StartReply.Cause.FENCED));
+            return;
+        }
         if (!isCalled(worker)) {
             StartReply.Cause cause =
                     mUp ? StartReply.Cause.OTHER_WORKER : StartReply.Cause.UNHEALTHY;
@@ -186,6 +213,11 @@
             done.accept(new LeaseRenewalReply.OtherWorker());
             return;
         }
+        if (request.term() < mHighestTerm) {
+            done.accept(new LeaseRenewalReply.Fenced());
+            return;
+        }
+        mHighestTerm = request.term();
         mEnds.removeIf(end -> end.number() <= request.acknowledgedEnd());
         request.leaseEndMillis().ifPresent(end -> mLeaseEndMillis = Math.max(mLeaseEndMillis, end));
         Renewal renewal = new Renewal(request, done);
