Catch LOWER_EPOCH_ACCEPTED by a finish after the agents have moved

It does harm to tasks that the next owner starts: the former owner does not know them and acknowledges their ends, and the agent discards these.

Change: a step FINISH_AFTER_MOVE, whose job is submitted to the next owner while the former one is cut off from the store. The mutant ATTEMPT_CHECK_DROPPED leaves reports alone whose job the owner does not know; it threw an exception there. The checker counted each session sent to a VM as a contact, also those of a former owner that the agent refuses. A session below the epoch of an acknowledgement sent to the VM counts no more; acknowledgements of any epoch still do.

--- a/faults/src/test/java/org/knapweedbank/faults/task/SimEntry.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/SimEntry.java
@@ -492,7 +492,8 @@
     private void handleReport(SimLink link, VmId vm, TaskReport report) {
         TaskReport delivered = report;
         VmId reportingVm = vm;
-        if (mCellRun.mutant() == TaskMutant.ATTEMPT_CHECK_DROPPED) {
+        boolean jobKnown = mPartition.controller().detail(report.task().job()).isPresent();
+        if (mCellRun.mutant() == TaskMutant.ATTEMPT_CHECK_DROPPED && jobKnown) {
             TaskSummary current = currentAttempt(report.task());
             delivered =
                     new TaskReport(
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskCellRun.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskCellRun.java
@@ -54,6 +54,9 @@
 
     private static final Duration STORE_TICK_INTERVAL = Duration.ofMillis(100);
 
+    /** Time from the takeover to the submission of a job to the next owner. */
+    private static final Duration LATE_SUBMISSION_DELAY = Duration.ofSeconds(3);
+
     /** Virtual time at which the cell ends, even if jobs have not reached a final state. */
     private static final Duration TIME_LIMIT = Duration.ofMinutes(25);
 
@@ -257,7 +260,10 @@
                 reachStep(TaskStep.RUNNING, vm);
                 beginScenario(vm);
             }
-            case FINISHED -> reachStep(TaskStep.FINISH_REPORTED, vm);
+            case FINISHED -> {
+                reachStep(TaskStep.FINISH_REPORTED, vm);
+                reachStep(TaskStep.FINISH_AFTER_MOVE, vm);
+            }
             case FAILED -> reachStep(TaskStep.FAILURE_REPORTED, vm);
             case CHECKPOINTED -> reachStep(TaskStep.CHECKPOINT_REPORTED, vm);
             case STOPPED -> reachStep(TaskStep.CANCEL_REPORTED, vm);
@@ -268,8 +274,8 @@
     /** Handles that an entry has sent a message to the agent of a VM. */
     void handleMessageSent(Message message, String vm) {
         switch (message) {
-            case HeartbeatAck ack -> mChecker.recordContact(vm);
-            case SessionGrant grant -> mChecker.recordContact(vm);
+            case HeartbeatAck ack -> mChecker.recordAcknowledgement(vm, ack.epoch());
+            case SessionGrant grant -> mChecker.recordGrant(vm, grant.epoch());
             case StartTask start when !isService(start.task()) -> {
                 boolean resumes = !start.checkpoint().isEmpty();
                 reachStep(resumes ? TaskStep.RESUME_SENT : TaskStep.START_SENT, vm);
@@ -307,9 +313,15 @@
         if (epoch > 1) {
             reachStep(TaskStep.TAKEOVER, "vm1");
             reachStep(TaskStep.FORMER_OWNER_CUT_OFF, "vm1");
-            if (epoch == 2 && mStep.scenario() == TaskStep.Scenario.STORE_CUT_MOVED) {
+            boolean moved =
+                    mStep.scenario() == TaskStep.Scenario.STORE_CUT_MOVED || isJobSubmittedLate();
+            if (epoch == 2 && moved) {
                 mAgents.values().forEach(agent -> agent.link().closeByEntry());
             }
+            if (epoch == 2 && isJobSubmittedLate()) {
+                mSimulation.schedule(
+                        LATE_SUBMISSION_DELAY, () -> submit(jobSpec(BATCH_JOB, JobKind.BATCH, 3)));
+            }
         }
     }
 
@@ -356,20 +368,25 @@
                                 mEntries.get("entry1").stop();
                                 reachStep(TaskStep.OWNER_STOPPING, vm);
                             });
-            case STORE_CUT, STORE_CUT_MOVED ->
-                    scheduleScenario(
-                            () -> {
-                                mSimulation.trace("FAULT", "entry1 is cut off from the store");
-                                mStoreClients.get("entry1").faults().down(true);
-                                extendDisturbance(Duration.ofSeconds(260));
-                                mSimulation.schedule(
-                                        Duration.ofSeconds(260),
-                                        () -> mStoreClients.get("entry1").faults().down(false));
-                            });
+            case STORE_CUT, STORE_CUT_MOVED -> scheduleScenario(this::cutOwnerOffFromStore);
             default -> {}
         }
     }
 
+    /** Cuts the first owner off from the store for 260 s. */
+    private void cutOwnerOffFromStore() {
+        mSimulation.trace("FAULT", "entry1 is cut off from the store");
+        mStoreClients.get("entry1").faults().down(true);
+        extendDisturbance(Duration.ofSeconds(260));
+        mSimulation.schedule(
+                Duration.ofSeconds(260), () -> mStoreClients.get("entry1").faults().down(false));
+    }
+
+    /** Returns whether the batch job is submitted only after the next owner has taken over. */
+    private boolean isJobSubmittedLate() {
+        return mStep.scenario() == TaskStep.Scenario.STORE_CUT_BEFORE_JOB;
+    }
+
     /** Runs the event of the scenario after 3 s. */
     private void scheduleScenario(Runnable action) {
         mScenarioStarted = true;
@@ -573,8 +590,13 @@
     CellOutcome run() {
         mSimulation.runFor(Duration.ofSeconds(4));
         submit(jobSpec(SERVICE_JOB, JobKind.SERVICE, 1));
-        submit(jobSpec(BATCH_JOB, JobKind.BATCH, 3));
         mDisturbedUntilNanos = mSimulation.nowNanos();
+        if (isJobSubmittedLate()) {
+            scheduleScenario(this::cutOwnerOffFromStore);
+            extendDisturbance(Duration.ofSeconds(10));
+        } else {
+            submit(jobSpec(BATCH_JOB, JobKind.BATCH, 3));
+        }
         boolean settled = false;
         while (!settled && mSimulation.nowNanos() < TIME_LIMIT.toNanos()) {
             mSimulation.runFor(Duration.ofSeconds(1));
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskInvariantChecker.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskInvariantChecker.java
@@ -28,11 +28,14 @@
     private final Simulation mSimulation;
 
     /**
-     * Virtual time at which an owner last sent a VM a heartbeat acknowledgement or a session, by
-     * VM.
+     * Virtual time at which an owner last sent a VM a heartbeat acknowledgement or a session that
+     * the VM may accept, by VM.
      */
     private final Map<String, Long> mLastContactNanos = new HashMap<>();
 
+    /** Highest epoch of the heartbeat acknowledgements sent to a VM, by VM. */
+    private final Map<String, Long> mAcknowledgedEpoch = new HashMap<>();
+
     /** Executions in the order of their starts. */
     private final List<Execution> mExecutions = new ArrayList<>();
 
@@ -61,11 +64,23 @@
         mGoneVms.add(vm);
     }
 
-    /** Records that an owner has sent a VM a heartbeat acknowledgement or a session. */
-    void recordContact(String vm) {
+    /** Records that an owner has acknowledged a heartbeat of a VM. */
+    void recordAcknowledgement(String vm, long epoch) {
+        mAcknowledgedEpoch.merge(vm, epoch, Math::max);
         mLastContactNanos.put(vm, mSimulation.nowNanos());
     }
 
+    /**
+     * Records that an owner has sent a VM a session. A session of a former owner is no contact: an
+     * agent that sends heartbeats under a higher epoch refuses it, and its leases are not renewed.
+     * If the agent accepts it nevertheless, the acknowledgements of its heartbeats are contacts.
+     */
+    void recordGrant(String vm, long epoch) {
+        if (epoch >= mAcknowledgedEpoch.getOrDefault(vm, 0L)) {
+            mLastContactNanos.put(vm, mSimulation.nowNanos());
+        }
+    }
+
     /**
      * Records an execution and checks it against the capacity of the VM and against earlier
      * executions and commits.
--- a/faults/src/test/java/org/knapweedbank/faults/task/TaskStep.java
+++ b/faults/src/test/java/org/knapweedbank/faults/task/TaskStep.java
@@ -52,6 +52,11 @@
     SESSION_AFTER_CUT_OFF(Scenario.STORE_CUT),
     /** The new owner has opened a session with an agent whose VM still runs a batch task. */
     SESSION_AFTER_MOVE(Scenario.STORE_CUT_MOVED),
+    /**
+     * The agent reports a task as finished that the new owner has started while the former owner is
+     * cut off from the store.
+     */
+    FINISH_AFTER_MOVE(Scenario.STORE_CUT_BEFORE_JOB),
     /** The owner begins its planned stop. */
     OWNER_STOPPING(Scenario.STOP),
     /** The new owner has opened a session after the planned stop of the former one. */
@@ -75,6 +80,11 @@
         STORE_CUT,
         /** The owner is cut off from the store, and the agents move to the next owner. */
         STORE_CUT_MOVED,
+        /**
+         * The owner is cut off from the store, the agents move to the next owner, and the batch job
+         * is submitted to that one.
+         */
+        STORE_CUT_BEFORE_JOB,
         /** The owner performs a planned stop and releases its partition. */
         STOP
     }
