--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -39,7 +39,10 @@
     private final Map<TaskName, Run> mRuns = new HashMap<>();
     private final List<EndedRun> mEnds = new ArrayList<>();
     private final Map<TaskName, Long> mHighestStoppedRuns = new HashMap<>();
+
+    /** Highest term that a call has carried; the worker refuses the calls of earlier ones. */
     private long mHighestTerm;
+
     private String mId = "";
     private long mIncarnation;
     private long mStartedAtMillis;
@@ -72,6 +75,12 @@
     /** Time that an answer to a renewal takes; answers to other calls overtake it. */
     Duration mRenewalAnswerDelay = Duration.ZERO;
 
+    /** Time after which a start call arrives. */
+    Duration mStartArrivalDelay = Duration.ZERO;
+
+    /** Number of start calls that have been under way for that time. */
+    int mDelayedStarts;
+
     /** Maximum number of ends in a reply. */
     int mMaxListedEnds = 500;
 
@@ -175,6 +184,24 @@
             long deadlineMillis,
             long term,
             Consumer<StartReply> done) {
+        if (mStartArrivalDelay.isZero()) {
+            carryOut(worker, order, deadlineMillis, term, done);
+        } else {
+            mDelayedStarts++;
+            mTimers.after(mStartArrivalDelay, () -> carryOut(worker, order, deadlineMillis, term, done));
+        }
+    }
+
+    private void carryOut(
+            WorkerId worker,
+            StartOrder order,
+            long deadlineMillis,
+            long term,
+            Consumer<StartReply> done) {
+        if (term < mHighestTerm) {
+            done.accept(new StartReply.Refused(StartReply.Cause.FENCED));
+            return;
+        }
         if (!isCalled(worker)) {
             StartReply.Cause cause =
                     mUp ? StartReply.Cause.OTHER_WORKER : StartReply.Cause.UNHEALTHY;
@@ -248,7 +275,11 @@
             done.accept(new LeaseRenewalReply.OtherWorker());
             return;
         }
-        mHighestTerm = Math.max(mHighestTerm, request.term());
+        if (request.term() < mHighestTerm) {
+            done.accept(new LeaseRenewalReply.Fenced());
+            return;
+        }
+        mHighestTerm = request.term();
         mEnds.removeIf(end -> end.number() <= request.acknowledgedEnd());
         request.leaseEndMillis().ifPresent(this::extendLease);
         Renewal renewal = new Renewal(request, done);
