Soak: entries and agents as processes on stand-ins, with faults from a seed

The soak starts the roles with the commands of deploy/system.toml, each process on a loopback address of its own, puts proxies between them and stand-ins of the store and of the workers, and draws restarts, hand-overs, kills, pauses, delays, cuts and store outages from a seed.

--- /dev/null
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -0,0 +1,141 @@
+package org.knapweedbank.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Draws the faults of a run; several series overlap. */
+final class FaultPlan {
+    private static final long CYCLE_MILLIS = 8_000;
+    private static final long MIN_DOWN_MILLIS = 5;
+    private static final long MAX_DOWN_MILLIS = 500;
+    private static final long MAX_FIRST_REPORT_MILLIS = 1_500;
+    private static final long MAX_RESTART_MILLIS = 1_500;
+
+    /** Time after the start of a hand-over within which workers restart. */
+    private static final long RESTART_WINDOW_MILLIS = 5_000;
+
+    private final UniformRandomProvider mRandom;
+    private final int mWorkers;
+    private final int mEntries;
+    private final long mMillis;
+    private final List<PlannedFault> mFaults = new ArrayList<>();
+
+    /** Series of faults. */
+    enum Kind {
+        /** The owner hands over, and workers restart under delayed answers soon after. */
+        HAND_OVER,
+        /** All kinds of faults. */
+        MIXED
+    }
+
+    private FaultPlan(UniformRandomProvider random, int workers, int entries, long millis) {
+        mRandom = random;
+        mWorkers = workers;
+        mEntries = entries;
+        mMillis = millis;
+    }
+
+    static List<PlannedFault> draw(
+            Kind kind, UniformRandomProvider random, int workers, int entries, long millis) {
+        FaultPlan plan = new FaultPlan(random, workers, entries, millis);
+        switch (kind) {
+            case HAND_OVER -> plan.addHandOvers();
+            case MIXED -> plan.addMixed();
+        }
+        plan.mFaults.sort(Comparator.comparingLong(PlannedFault::atMillis));
+        return plan.mFaults;
+    }
+
+    private void addHandOvers() {
+        for (int i = 0; i < mWorkers; i++) {
+            ProxyDelays delays = new ProxyDelays(0.5, 0, between(5, 200));
+            add(0, new Fault.WorkerDelay(i, delays, mMillis));
+        }
+        for (long start = 1_000; start + RESTART_WINDOW_MILLIS < mMillis; start += CYCLE_MILLIS) {
+            add(start, new Fault.OwnerEnd(ProcessSignal.TERM, between(200, MAX_RESTART_MILLIS)));
+            for (int i = 0; i < mWorkers; i++) {
+                addRestart(start, RESTART_WINDOW_MILLIS / 2, i);
+                addRestart(start + RESTART_WINDOW_MILLIS / 2, RESTART_WINDOW_MILLIS / 2, i);
+            }
+        }
+    }
+
+    private void addMixed() {
+        addSeries(2_500, at -> addRestart(at, 1, mRandom.nextInt(mWorkers)));
+        addSeries(9_000, at -> add(at, ownerEnd()));
+        addSeries(7_000, at -> add(at, agentKill()));
+        addSeries(8_000, at -> add(at, pause()));
+        addSeries(2_000, at -> add(at, workerDelay()));
+        addSeries(3_000, at -> add(at, workerCut()));
+        addSeries(5_000, at -> add(at, storeCut()));
+        addSeries(12_000, at -> add(at, storeOutage()));
+    }
+
+    /** Adds faults at exponentially distributed intervals. */
+    private void addSeries(long meanMillis, java.util.function.LongConsumer fault) {
+        double at = 0;
+        while (true) {
+            at -= meanMillis * Math.log(1 - mRandom.nextDouble());
+            if (at >= mMillis) {
+                return;
+            }
+            fault.accept((long) at);
+        }
+    }
+
+    private void addRestart(long start, long window, int worker) {
+        add(
+                start + between(0, window),
+                new Fault.WorkerRestart(
+                        worker,
+                        between(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS),
+                        between(0, MAX_FIRST_REPORT_MILLIS)));
+    }
+
+    private Fault ownerEnd() {
+        ProcessSignal signal = mRandom.nextBoolean() ? ProcessSignal.TERM : ProcessSignal.KILL;
+        return new Fault.OwnerEnd(signal, between(200, MAX_RESTART_MILLIS));
+    }
+
+    private Fault agentKill() {
+        return new Fault.AgentKill(mRandom.nextInt(mWorkers), between(100, MAX_RESTART_MILLIS));
+    }
+
+    private Fault pause() {
+        return new Fault.Pause(
+                mRandom.nextInt(3) == 0, mRandom.nextInt(mWorkers), between(200, 8_000));
+    }
+
+    private Fault workerDelay() {
+        ProxyDelays delays =
+                mRandom.nextInt(3) == 0
+                        ? new ProxyDelays(0.1, between(500, 4_000), 0)
+                        : new ProxyDelays(0.5, between(1, 100), between(5, 200));
+        return new Fault.WorkerDelay(mRandom.nextInt(mWorkers), delays, between(1_000, 5_000));
+    }
+
+    private Fault workerCut() {
+        return new Fault.WorkerCut(
+                mRandom.nextInt(mWorkers), mRandom.nextBoolean(), mRandom.nextDouble());
+    }
+
+    private Fault storeCut() {
+        return new Fault.StoreCut(mRandom.nextInt(mWorkers + mEntries), mRandom.nextBoolean());
+    }
+
+    private Fault storeOutage() {
+        StoreStandIn.Mode mode =
+                mRandom.nextBoolean() ? StoreStandIn.Mode.REFUSING : StoreStandIn.Mode.MUTE;
+        return new Fault.StoreOutage(mode, between(200, 4_000));
+    }
+
+    private void add(long atMillis, Fault fault) {
+        mFaults.add(new PlannedFault(atMillis, fault));
+    }
+
+    private long between(long first, long last) {
+        return mRandom.nextLong(last - first + 1) + first;
+    }
+}
