--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -11,6 +11,13 @@
     private static final long MIN_DOWN_MILLIS = 5;
     private static final long MAX_DOWN_MILLIS = 500;
     private static final long MAX_FIRST_REPORT_MILLIS = 1_500;
+
+    /**
+     * First reports within this time come before the agent repeats a renewal that had no answer, so
+     * that the answer to its probe is the first that names the new incarnation.
+     */
+    private static final long EARLY_REPORT_MILLIS = 100;
+
     private static final long MAX_RESTART_MILLIS = 1_500;
 
     /** Time after the start of a hand-over within which workers restart. */
@@ -91,7 +98,11 @@
                 new Fault.WorkerRestart(
                         worker,
                         between(MIN_DOWN_MILLIS, MAX_DOWN_MILLIS),
-                        between(0, MAX_FIRST_REPORT_MILLIS)));
+                        between(
+                                0,
+                                mRandom.nextBoolean()
+                                        ? EARLY_REPORT_MILLIS
+                                        : MAX_FIRST_REPORT_MILLIS)));
     }
 
     private Fault ownerEnd() {
--- a/soak/src/main/java/org/knapweedbank/soak/JobCallers.java
+++ b/soak/src/main/java/org/knapweedbank/soak/JobCallers.java
@@ -15,10 +15,10 @@
  */
 final class JobCallers {
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
-    private static final int CALLERS = 4;
+    private static final int CALLERS = 6;
     private static final int MAX_ATTEMPTS = 6;
     private static final long RETRY_DELAY_MILLIS = 300;
-    private static final int MAX_TASKS = 6;
+    private static final int MAX_TASKS = 8;
     private static final long MIN_TASK_MILLIS = 100;
     private static final long MAX_TASK_MILLIS = 1_000;
     private static final long MAX_JOB_INTERVAL_MILLIS = 600;
