--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -31,6 +31,8 @@
 
     /** Series of faults. */
     enum Kind {
+        /** No fault. */
+        CALM,
         /** The owner hands over, and workers restart under delayed answers soon after. */
         HAND_OVER,
         /** All kinds of faults. */
@@ -48,6 +50,7 @@
             Kind kind, UniformRandomProvider random, int workers, int entries, long millis) {
         FaultPlan plan = new FaultPlan(random, workers, entries, millis);
         switch (kind) {
+            case CALM -> {}
             case HAND_OVER -> plan.addHandOvers();
             case MIXED -> plan.addMixed();
         }
--- a/soak/src/main/java/org/knapweedbank/soak/RunHistory.java
+++ b/soak/src/main/java/org/knapweedbank/soak/RunHistory.java
@@ -18,6 +18,7 @@
 
     private final Clock mClock;
     private final long mStartMillis;
+    private final long mStartWallMillis;
     private final List<RunEvent> mEvents = new ArrayList<>();
     private final List<Violation> mViolations = new ArrayList<>();
 
@@ -41,6 +42,7 @@
     RunHistory(Clock clock) {
         mClock = clock;
         mStartMillis = clock.monotonicMillis();
+        mStartWallMillis = clock.wallTime().toEpochMilli();
     }
 
     /** Returns the time since the start of the deployment. */
@@ -48,6 +50,11 @@
         return mClock.monotonicMillis() - mStartMillis;
     }
 
+    /** Returns the wall time of an event in Unix milliseconds. */
+    long wallMillis(RunEvent event) {
+        return mStartWallMillis + event.atMillis();
+    }
+
     synchronized void record(
             RunEvent.Kind kind,
             String worker,
--- a/soak/src/main/java/org/knapweedbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/knapweedbank/soak/SoakRun.java
@@ -8,9 +8,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.apache.commons.rng.UniformRandomProvider;
@@ -78,13 +76,17 @@
                     .filter(job -> history.hasStarted(job.id()))
                     .map(job -> new Violation(Violation.Promise.REFUSED, job.id(), "has started"))
                     .forEach(violations::add);
+            deployment.processes().stream()
+                    .filter(process -> !process.isRunning())
+                    .map(p -> new Violation(Violation.Promise.ENDED, p.name(), "not running"))
+                    .forEach(violations::add);
             SoakResult result = new SoakResult(seed, jobs, history.startCount(), violations);
             report.println(seconds(history) + " " + result.summary());
             violations.forEach(report::println);
-            Set<String> broken = new HashSet<>();
-            violations.forEach(violation -> broken.add(violation.job()));
-            for (String job : broken.stream().sorted().toList()) {
-                writeJob(report, job, history, deployment);
+            List<String> subjects =
+                    violations.stream().map(Violation::subject).distinct().sorted().toList();
+            for (String subject : subjects) {
+                new JobRecord(subject, history, deployment.processes()).write(report);
             }
             return result;
         } finally {
@@ -127,19 +129,6 @@
         return List.of();
     }
 
-    /** Writes what the workers saw of a job, and the lines of the processes' logs that name it. */
-    private static void writeJob(
-            PrintStream report, String job, RunHistory history, Deployment deployment)
-            throws IOException {
-        report.println();
-        history.eventsOf(job).forEach(report::println);
-        for (RoleProcess process : deployment.processes()) {
-            try (Stream<String> lines = Files.lines(process.log())) {
-                lines.filter(line -> line.contains(job)).forEach(report::println);
-            }
-        }
-    }
-
     private static void delete(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/soak/src/main/java/org/knapweedbank/soak/Violation.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Violation.java
@@ -4,10 +4,10 @@
  * A broken promise.
  *
  * @param promise the promise
- * @param job identifier of the job
+ * @param subject identifier of the job, or name of the process
  * @param detail what was seen
  */
-record Violation(Promise promise, String job, String detail) {
+record Violation(Promise promise, String subject, String detail) {
     /** Promises that the soak checks. */
     enum Promise {
         /** No task runs twice at a time, or again after an acknowledged end as done. */
@@ -16,12 +16,12 @@
         LOST,
         /** No task of a job starts if each of its submissions was refused. */
         REFUSED,
-        /** A job is shown as completed only after all its tasks have ended as done. */
-        MIXED
+        /** No process ends unless a fault ends it. */
+        ENDED
     }
 
     @Override
     public String toString() {
-        return promise + " " + job + ": " + detail;
+        return promise + " " + subject + ": " + detail;
     }
 }
--- a/soak/src/test/java/org/knapweedbank/soak/RunHistoryTest.java
+++ b/soak/src/test/java/org/knapweedbank/soak/RunHistoryTest.java
@@ -21,7 +21,7 @@
         record(Kind.START, "w-0", 1, 1, "");
         record(Kind.START, "w-1", 1, 2, "");
         assertThat(mHistory.violations()).hasSize(1);
-        assertThat(mHistory.violations().get(0).job()).isEqualTo("00000000000000aa");
+        assertThat(mHistory.violations().get(0).subject()).isEqualTo("00000000000000aa");
     }
 
     @Test
