Soak: orders that outlive the incarnation they were sent to

The plan late-orders plays it: the proxy delivers a late request to the worker that listens then. It is a plan of its own, so that what it finds is not mixed with the other faults.

--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -19,6 +19,7 @@
     private static final long EARLY_REPORT_MILLIS = 100;
 
     private static final long MAX_RESTART_MILLIS = 1_500;
+    private static final long MAX_LATE_ORDER_MILLIS = 6_000;
 
     /** Time after the start of a hand-over within which workers restart. */
     private static final long RESTART_WINDOW_MILLIS = 5_000;
@@ -35,6 +36,8 @@
         CALM,
         /** The owner hands over, and workers restart under delayed answers soon after. */
         HAND_OVER,
+        /** Workers restart while orders to them are seconds late and reach the next incarnation. */
+        LATE_ORDERS,
         /** All kinds of faults. */
         MIXED
     }
@@ -52,6 +55,7 @@
         switch (kind) {
             case CALM -> {}
             case HAND_OVER -> plan.addHandOvers();
+            case LATE_ORDERS -> plan.addLateOrders();
             case MIXED -> plan.addMixed();
         }
         plan.mFaults.sort(Comparator.comparingLong(PlannedFault::atMillis));
@@ -60,7 +64,7 @@
 
     private void addHandOvers() {
         for (int i = 0; i < mWorkers; i++) {
-            ProxyDelays delays = new ProxyDelays(0.5, 0, between(5, 200));
+            ProxyDelays delays = new ProxyDelays(0.5, 0, between(5, 200), false);
             add(0, new Fault.WorkerDelay(i, delays, mMillis));
         }
         for (long start = 1_000; start + RESTART_WINDOW_MILLIS < mMillis; start += CYCLE_MILLIS) {
@@ -72,6 +76,14 @@
         }
     }
 
+    private void addLateOrders() {
+        for (int i = 0; i < mWorkers; i++) {
+            ProxyDelays delays = new ProxyDelays(0.05, MAX_LATE_ORDER_MILLIS, 0, true);
+            add(0, new Fault.WorkerDelay(i, delays, mMillis));
+        }
+        addSeries(1_000, at -> addRestart(at, 1, mRandom.nextInt(mWorkers)));
+    }
+
     private void addMixed() {
         addSeries(2_500, at -> addRestart(at, 1, mRandom.nextInt(mWorkers)));
         addSeries(9_000, at -> add(at, ownerEnd()));
@@ -125,8 +137,8 @@
     private Fault workerDelay() {
         ProxyDelays delays =
                 mRandom.nextInt(3) == 0
-                        ? new ProxyDelays(0.1, between(500, 4_000), 0)
-                        : new ProxyDelays(0.5, between(1, 100), between(5, 200));
+                        ? new ProxyDelays(0.1, between(500, 4_000), 0, false)
+                        : new ProxyDelays(0.5, between(1, 100), between(5, 200), false);
         return new Fault.WorkerDelay(mRandom.nextInt(mWorkers), delays, between(1_000, 5_000));
     }
 
--- a/soak/src/main/java/org/knapweedbank/soak/Proxy.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Proxy.java
@@ -114,7 +114,7 @@
                 while (count >= 0) {
                     TimeUnit.MILLISECONDS.sleep(mDelays.draw(isRequest, Proxy.this::draw));
                     if (!mSilent) {
-                        to.getOutputStream().write(buffer, 0, count);
+                        deliver(to, buffer, count, isRequest);
                     }
                     count = from.getInputStream().read(buffer);
                 }
@@ -126,6 +126,24 @@
             close();
         }
 
+        private void deliver(Socket to, byte[] buffer, int count, boolean isRequest)
+                throws IOException {
+            try {
+                to.getOutputStream().write(buffer, 0, count);
+            } catch (IOException e) {
+                if (!isRequest || !mDelays.requestsOutliveServer()) {
+                    throw e;
+                }
+                try (Socket next = new Socket()) {
+                    next.connect(mTarget, CONNECT_TIMEOUT_MILLIS);
+                    next.getOutputStream().write(buffer, 0, count);
+                    // The server carries the request out before it answers; nobody reads the
+                    // answer.
+                    next.getInputStream().read();
+                }
+            }
+        }
+
         void reset() {
             try {
                 mClient.setSoLinger(true, 0);
