--- a/soak/src/main/java/org/knapweedbank/soak/RoleProcess.java
+++ b/soak/src/main/java/org/knapweedbank/soak/RoleProcess.java
@@ -63,7 +63,11 @@
     synchronized void signal(ProcessSignal signal) throws IOException, InterruptedException {
         if (isRunning()) {
             String pid = Long.toString(mProcess.pid());
-            new ProcessBuilder("kill", "-" + signal, pid).inheritIO().start().waitFor();
+            // The process may end by itself before the signal; the kill command then fails.
+            new ProcessBuilder("kill", "-" + signal, pid)
+                    .redirectError(ProcessBuilder.Redirect.DISCARD)
+                    .start()
+                    .waitFor();
         }
     }
 
