--- a/soak/src/main/java/org/knapweedbank/soak/Proxy.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Proxy.java
@@ -35,6 +35,10 @@
         Thread.ofVirtual().start(this::accept);
     }
 
+    int port() {
+        return mListener.getLocalPort();
+    }
+
     void setDelays(ProxyDelays delays) {
         mDelays = delays;
     }
--- a/soak/src/main/java/org/knapweedbank/soak/RoleProcess.java
+++ b/soak/src/main/java/org/knapweedbank/soak/RoleProcess.java
@@ -62,12 +62,17 @@
     /** Sends a signal to the process if it runs. */
     synchronized void signal(ProcessSignal signal) throws IOException, InterruptedException {
         if (isRunning()) {
-            String pid = Long.toString(mProcess.pid());
-            // The process may end by itself before the signal; the kill command then fails.
-            new ProcessBuilder("kill", "-" + signal, pid)
-                    .redirectError(ProcessBuilder.Redirect.DISCARD)
-                    .start()
-                    .waitFor();
+            switch (signal) {
+                case TERM -> mProcess.destroy();
+                case KILL -> mProcess.destroyForcibly();
+                case STOP, CONT -> {
+                    String pid = Long.toString(mProcess.pid());
+                    new ProcessBuilder("kill", "-" + signal, pid)
+                            .redirectError(ProcessBuilder.Redirect.DISCARD)
+                            .start()
+                            .waitFor();
+                }
+            }
         }
     }
 
