Soak: late orders found to start tasks twice; the record of a job shows links and owners

A start that the agent has given up by the clock of one incarnation is carried out by the next, and a renewal with the last end seen in one lets the next forget ends that nobody has read.

The record of a job named the lines of its workers only; a released order needs those of links and owners, too.

--- a/soak/src/main/java/org/knapweedbank/soak/JobRecord.java
+++ b/soak/src/main/java/org/knapweedbank/soak/JobRecord.java
@@ -8,7 +8,6 @@
 import java.util.function.Predicate;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /**
@@ -22,38 +21,34 @@
 record JobRecord(String job, RunHistory history, List<RoleProcess> processes) {
     private static final Pattern TIME = Pattern.compile("\\{\"at\":(\\d+),.*");
 
-    /** Time around the events of a job within which lines that name one of its workers count. */
+    /** Events that name a job; those of other jobs are left out. */
+    private static final Pattern OF_A_JOB = Pattern.compile("\"event\":\"(task|job|call)\\.");
+
+    /** Time around the events of a job within which lines of no job count. */
     private static final long MARGIN_MILLIS = 2_000;
 
     void write(PrintStream report) throws IOException {
         List<RunEvent> events = history.eventsOf(job);
         report.println();
         events.forEach(report::println);
-        Predicate<String> isOfWorker = isOfWorker(events);
+        Predicate<String> isOfTheirTime = isOfTheirTime(events);
         for (RoleProcess process : processes) {
             try (Stream<String> lines = Files.lines(process.log())) {
-                lines.filter(line -> line.contains(job) || isOfWorker.test(line))
+                lines.filter(line -> line.contains(job) || isOfTheirTime.test(line))
                         .forEach(report::println);
             }
         }
     }
 
-    private Predicate<String> isOfWorker(List<RunEvent> events) {
+    /** Returns whether a line is of the time of the events and of no job at all. */
+    private Predicate<String> isOfTheirTime(List<RunEvent> events) {
         if (events.isEmpty()) {
             return line -> false;
         }
         long first = history.wallMillis(events.getFirst()) - MARGIN_MILLIS;
         long last = history.wallMillis(events.getLast()) + MARGIN_MILLIS;
-        Pattern worker =
-                events.stream()
-                        .map(RunEvent::worker)
-                        .distinct()
-                        .collect(
-                                Collectors.collectingAndThen(
-                                        Collectors.joining("|"),
-                                        ids -> Pattern.compile("\"subject\":\"(" + ids + ")@")));
         return line ->
-                worker.matcher(line).find()
+                !OF_A_JOB.matcher(line).find()
                         && atMillis(line).filter(at -> at >= first && at <= last).isPresent();
     }
 
