Soak: plan of agent restarts; a lease that a start sets on another clock

Starts with a deadline of the former incarnation's clock give the next one a lease of max_hold_ms instead of the owner's 6 s, and an agent paused for 7.5 s is given up before that lease ends.

The plan agent-restarts restarts agents and owners while calls to workers that stay up are seconds late, which the mixed plan rarely combines.

--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -38,6 +38,8 @@
         HAND_OVER,
         /** Workers restart while orders to them are seconds late and reach the next incarnation. */
         LATE_ORDERS,
+        /** Agents and owners restart while calls to workers, which stay up, are seconds late. */
+        AGENT_RESTARTS,
         /** All kinds of faults. */
         MIXED
     }
@@ -56,6 +58,7 @@
             case CALM -> {}
             case HAND_OVER -> plan.addHandOvers();
             case LATE_ORDERS -> plan.addLateOrders();
+            case AGENT_RESTARTS -> plan.addAgentRestarts();
             case MIXED -> plan.addMixed();
         }
         plan.mFaults.sort(Comparator.comparingLong(PlannedFault::atMillis));
@@ -84,6 +87,17 @@
         addSeries(1_000, at -> addRestart(at, 1, mRandom.nextInt(mWorkers)));
     }
 
+    private void addAgentRestarts() {
+        for (int i = 0; i < mWorkers; i++) {
+            ProxyDelays delays =
+                    new ProxyDelays(0.2, MAX_LATE_ORDER_MILLIS, between(5, 200), false);
+            add(0, new Fault.WorkerDelay(i, delays, mMillis));
+        }
+        addSeries(2_500, at -> add(at, agentKill()));
+        addSeries(8_000, at -> add(at, ownerEnd()));
+        addSeries(8_000, at -> add(at, pause()));
+    }
+
     private void addMixed() {
         addSeries(2_500, at -> addRestart(at, 1, mRandom.nextInt(mWorkers)));
         addSeries(9_000, at -> add(at, ownerEnd()));
--- a/soak/src/main/java/org/knapweedbank/soak/SoakMain.java
+++ b/soak/src/main/java/org/knapweedbank/soak/SoakMain.java
@@ -28,7 +28,10 @@
         options.addOption(null, "seconds", true, "duration of the faults of a seed");
         options.addOption(null, "vms", true, "number of VMs, entries and workers together");
         options.addOption(
-                null, "plan", true, "series of faults: calm, hand-over, late-orders or mixed");
+                null,
+                "plan",
+                true,
+                "series of faults: calm, hand-over, late-orders, agent-restarts or mixed");
         try {
             CommandLine line = new DefaultParser().parse(options, args);
             String[] seeds = line.getOptionValue("seeds", "1-3").split("-");
