Explore faults of workers, agents, links, owners and the store in virtual time

The explorer draws faults from a seed, plays a real OwnershipTerm and real AgentSessions against workers that check fence, run number and deadline of each call, and checks on the workers' side that no task runs twice and that none is lost. Failing plans are shortened and traced.

--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
@@ -0,0 +1,33 @@
+package org.knapweedbank.node.entry;
+
+/** Kinds of faults that the explorer injects. */
+enum FaultKind {
+    /** Calls to a worker are delayed, lost, or carried out seconds after they were given up. */
+    BAD_CALLS,
+    /** A worker crashes and starts again under its identifier. */
+    WORKER_RESTART,
+    /** A worker crashes and another one starts on its VM. */
+    WORKER_REPLACEMENT,
+    /** An agent process is killed and started again. */
+    AGENT_RESTART,
+    /** A worker and its agent fail together. */
+    VM_RESTART,
+    /** The link between an agent and the owner is cut and replaced. */
+    LINK_CUT,
+    /** The messages on a link are delayed in order. */
+    SLOW_LINK,
+    /** The owner hands over to the next one. */
+    OWNER_HANDOVER,
+    /** The owner is killed; the next one starts when the lease of its keys has ended. */
+    OWNER_KILL,
+    /** The owner can't confirm its ownership and goes on beside the next one until it notices. */
+    OWNER_REPLACEMENT,
+    /** The store refuses all calls. */
+    STORE_OUTAGE,
+    /** The store refuses single writes, loses their answers or applies them late. */
+    STORE_FAULTS,
+    /** The last status report of the former incarnation of a worker arrives late. */
+    STALE_REPORT,
+    /** A status report of an unknown worker arrives at an agent. */
+    FOREIGN_REPORT
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultPlan.java
@@ -0,0 +1,84 @@
+package org.knapweedbank.node.entry;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.Predicate;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/**
+ * Load and faults of one run of the explorer.
+ *
+ * @param seed seed that the plan was drawn from
+ * @param taskMillis duration of a batch task in milliseconds
+ * @param maxListedEnds maximum number of ends in a reply of a worker
+ * @param events faults in order of time
+ */
+record FaultPlan(long seed, int taskMillis, int maxListedEnds, List<FaultEvent> events) {
+    static final int VMS = 3;
+
+    /** Time in milliseconds during which jobs are submitted and faults begin. */
+    static final int LOAD_MILLIS = 8_000;
+
+    private static final int[] TASK_MILLIS = {200, 800, 2_500};
+    private static final int[] LENGTHS_MILLIS = {5, 50, 200, 500, 1_500, 4_000, 9_000};
+    private static final int[] SPREADS_MILLIS = {50, 500, 3_000};
+
+    /** Draws a plan with some kinds of faults only, most of them close in time and on one VM. */
+    static FaultPlan draw(long seed) {
+        UniformRandomProvider random = random(seed);
+        List<FaultKind> kinds = new ArrayList<>(Arrays.asList(FaultKind.values()));
+        kinds.removeIf(kind -> random.nextInt(3) > 0);
+        kinds.add(FaultKind.values()[random.nextInt(FaultKind.values().length)]);
+        int taskMillis = pick(random, TASK_MILLIS);
+        int maxListedEnds = random.nextInt(3) == 0 ? 8 : 500;
+        int spread = pick(random, SPREADS_MILLIS);
+        long moment = 0;
+        int vm = 0;
+        List<FaultEvent> events = new ArrayList<>();
+        int count = 2 + random.nextInt(10);
+        for (int i = 0; i < count; i++) {
+            if (i % 4 == 0) {
+                vm = random.nextInt(VMS);
+                moment = 1_500 + random.nextInt(LOAD_MILLIS - 3_500);
+            }
+            events.add(
+                    new FaultEvent(
+                            moment + random.nextInt(spread),
+                            kinds.get(random.nextInt(kinds.size())),
+                            random.nextInt(4) == 0 ? random.nextInt(VMS) : vm,
+                            pick(random, LENGTHS_MILLIS),
+                            random.nextLong()));
+        }
+        events.sort(Comparator.comparingLong(FaultEvent::atMillis));
+        return new FaultPlan(seed, taskMillis, maxListedEnds, List.copyOf(events));
+    }
+
+    static UniformRandomProvider random(long seed) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    static int pick(UniformRandomProvider random, int... values) {
+        return values[random.nextInt(values.length)];
+    }
+
+    /** Drops faults one after the other while the shorter plan still fails. */
+    FaultPlan shorten(Predicate<FaultPlan> fails) {
+        FaultPlan shortest = this;
+        for (int i = shortest.events().size() - 1; i >= 0; i--) {
+            FaultPlan shorter = shortest.without(i);
+            if (fails.test(shorter)) {
+                shortest = shorter;
+            }
+        }
+        return shortest;
+    }
+
+    private FaultPlan without(int index) {
+        List<FaultEvent> fewer = new ArrayList<>(events);
+        fewer.remove(index);
+        return new FaultPlan(seed, taskMillis, maxListedEnds, List.copyOf(fewer));
+    }
+}
--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/ModelWorker.java
@@ -0,0 +1,232 @@
+package org.knapweedbank.node.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.EndedRun;
+import org.knapweedbank.jobs.RunStatus;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.WorkerId;
+import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.agent.LeaseRenewalReply;
+import org.knapweedbank.node.agent.LeaseRenewalRequest;
+import org.knapweedbank.node.agent.StartReply;
+import org.knapweedbank.time.ManualClock;
+
+/**
+ * Worker that checks the fencing token, number and deadline of each order. Each incarnation starts
+ * empty, with its own clock, and knows no fencing token and no earlier run.
+ */
+final class ModelWorker {
+    private static final Duration STEP = Duration.ofMillis(10);
+    private static final long STOP_MILLIS = 50;
+    private static final long MAX_LEASE_MILLIS = 10_000;
+
+    private final ManualTimers mTimers;
+    private final ManualClock mClock;
+    private final RunChecker mChecker;
+    private final FaultPlan mPlan;
+    private final Map<TaskName, Run> mRuns = new HashMap<>();
+    private final Map<TaskName, Long> mBarredRuns = new HashMap<>();
+    private final List<EndedRun> mEnds = new ArrayList<>();
+    private final List<Renewal> mWaitingRenewals = new ArrayList<>();
+    private WorkerId mWorker = new WorkerId("", 0);
+    private long mStartedAtMillis;
+    private long mLeaseEndMillis;
+    private long mLastEndNumber;
+    private long mFence;
+    private boolean mLapsed;
+    private boolean mUp;
+
+    ModelWorker(ManualTimers timers, ManualClock clock, RunChecker checker, FaultPlan plan) {
+        mTimers = timers;
+        mClock = clock;
+        mChecker = checker;
+        mPlan = plan;
+        timers.every(STEP, this::advance);
+    }
+
+    /** Run with the times of its start and of its ordered stop on the worker's clock. */
+    private record Run(long mNumber, long mStartedAt, long mStopAt) {}
+
+    private record Renewal(LeaseRenewalRequest mRequest, Consumer<LeaseRenewalReply> mDone) {}
+
+    void start(String id) {
+        mWorker = new WorkerId(id, mClock.wallTime().toEpochMilli());
+        mStartedAtMillis = mClock.monotonicMillis();
+        mBarredRuns.clear();
+        mLeaseEndMillis = 0;
+        mLastEndNumber = 0;
+        mFence = 0;
+        mUp = true;
+    }
+
+    void crash() {
+        mUp = false;
+        mChecker.crashed(mWorker);
+        mRuns.clear();
+        mEnds.clear();
+        List<Renewal> broken = List.copyOf(mWaitingRenewals);
+        mWaitingRenewals.clear();
+        broken.forEach(renewal -> renewal.mDone().accept(new LeaseRenewalReply.NoAnswer("closed")));
+    }
+
+    boolean up() {
+        return mUp;
+    }
+
+    WorkerId id() {
+        return mWorker;
+    }
+
+    static WorkerInfo info(WorkerId worker, String service) {
+        return new WorkerInfo(
+                worker, service, new Resources(8_000, 100_000, 0), List.of("a", "r"), "r", false);
+    }
+
+    private long clockMillis() {
+        return 1_000 + mClock.monotonicMillis() - mStartedAtMillis;
+    }
+
+    private void advance() {
+        if (!mUp) {
+            return;
+        }
+        long now = clockMillis();
+        boolean lapsed = now > mLeaseEndMillis;
+        List.copyOf(mRuns.keySet()).stream()
+                .filter(task -> lapsed || now >= endsAt(task, mRuns.get(task)))
+                .forEach(task -> end(task, lapsed));
+        if (lapsed && !mLapsed) {
+            mChecker.voidEnds(mWorker);
+        }
+        mLapsed = lapsed;
+        if (!mEnds.isEmpty()) {
+            List.copyOf(mWaitingRenewals).forEach(this::answer);
+        }
+    }
+
+    private long endsAt(TaskName task, Run run) {
+        boolean lasts = task.toString().startsWith(ExploredSystem.LONG_RUNNING_JOB);
+        return lasts
+                ? run.mStopAt()
+                : Math.min(run.mStopAt(), run.mStartedAt() + mPlan.taskMillis());
+    }
+
+    private void end(TaskName task, boolean lapsed) {
+        Run run = mRuns.remove(task);
+        boolean stopped = run.mStopAt() <= clockMillis();
+        EndKind kind = lapsed ? EndKind.LAPSED : stopped ? EndKind.STOPPED : EndKind.DONE;
+        mEnds.add(new EndedRun(++mLastEndNumber, task, run.mNumber(), kind, ""));
+        bar(task, run.mNumber());
+        mChecker.ended(mWorker, task, run.mNumber(), kind, mLastEndNumber);
+    }
+
+    private void bar(TaskName task, long run) {
+        mBarredRuns.merge(task, run, Math::max);
+    }
+
+    /** Takes the fencing token of a call; returns false if a later one has been seen. */
+    private boolean acceptFence(long term) {
+        boolean accepted = term >= mFence;
+        mFence = Math.max(mFence, term);
+        return accepted;
+    }
+
+    private void extendLease(long endMillis) {
+        mLeaseEndMillis =
+                Math.max(mLeaseEndMillis, Math.min(endMillis, clockMillis() + MAX_LEASE_MILLIS));
+    }
+
+    StartReply startRun(WorkerId worker, TaskName task, long number, long deadline, long term) {
+        if (!worker.id().equals(mWorker.id())) {
+            return new StartReply.Refused(StartReply.Cause.OTHER_WORKER);
+        }
+        if (!acceptFence(term)) {
+            return new StartReply.Refused(StartReply.Cause.FENCED);
+        }
+        Run present = mRuns.get(task);
+        boolean repeated = present != null && present.mNumber() == number;
+        boolean outdated =
+                present != null && present.mNumber() > number
+                        || mBarredRuns.getOrDefault(task, 0L) >= number;
+        if (!repeated && !outdated && clockMillis() > deadline) {
+            return new StartReply.Refused(StartReply.Cause.TOO_LATE);
+        }
+        extendLease(deadline);
+        if (!repeated && outdated) {
+            return new StartReply.Refused(StartReply.Cause.OUTDATED_RUN);
+        }
+        if (!repeated) {
+            mRuns.put(task, new Run(number, clockMillis(), Long.MAX_VALUE));
+            mChecker.started(mWorker, task, number);
+        }
+        return new StartReply.Started(
+                OptionalLong.of(clockMillis()), OptionalLong.of(mWorker.incarnation()));
+    }
+
+    boolean stopRun(WorkerId worker, TaskName task, long number, long term) {
+        if (!worker.id().equals(mWorker.id()) || !acceptFence(term)) {
+            return false;
+        }
+        bar(task, number);
+        Run run = mRuns.get(task);
+        if (run != null && run.mNumber() == number && run.mStopAt() == Long.MAX_VALUE) {
+            mRuns.put(task, new Run(number, run.mStartedAt(), clockMillis() + STOP_MILLIS));
+        }
+        return true;
+    }
+
+    void renewLease(LeaseRenewalRequest request, Consumer<LeaseRenewalReply> done) {
+        if (!request.worker().id().equals(mWorker.id())) {
+            done.accept(new LeaseRenewalReply.OtherWorker());
+            return;
+        }
+        if (!acceptFence(request.term())) {
+            done.accept(new LeaseRenewalReply.Fenced());
+            return;
+        }
+        mEnds.stream()
+                .filter(end -> end.number() <= request.acknowledgedEnd())
+                .forEach(end -> mChecker.acknowledged(mWorker, end.task(), end.number()));
+        mEnds.removeIf(end -> end.number() <= request.acknowledgedEnd());
+        request.leaseEndMillis().ifPresent(this::extendLease);
+        Renewal renewal = new Renewal(request, done);
+        mWaitingRenewals.add(renewal);
+        if (request.maxWait().isZero() || !mEnds.isEmpty()) {
+            answer(renewal);
+        } else {
+            mTimers.after(request.maxWait(), () -> answer(renewal));
+        }
+    }
+
+    private void answer(Renewal renewal) {
+        if (!mWaitingRenewals.remove(renewal)) {
+            return;
+        }
+        List<RunStatus> running =
+                mRuns.entrySet().stream().map(e -> status(e.getKey(), e.getValue())).toList();
+        List<EndedRun> ended = mEnds.stream().limit(mPlan.maxListedEnds()).toList();
+        renewal.mDone()
+                .accept(
+                        new LeaseRenewalReply.Renewed(
+                                clockMillis(),
+                                mWorker.incarnation(),
+                                running,
+                                ended,
+                                true,
+                                ended.size() < mPlan.maxListedEnds()));
+    }
+
+    private RunStatus status(TaskName task, Run run) {
+        long percent = 100 * (clockMillis() - run.mStartedAt()) / mPlan.taskMillis();
+        return new RunStatus(task, run.mNumber(), "", (int) Math.min(100, percent), 0);
+    }
+}
