--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
@@ -17,6 +17,7 @@
     private static final Duration LEASE = Duration.ofSeconds(6);
     private static final Duration OBJECTIVE = Duration.ofSeconds(1);
     private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
+    private static final Duration STORE_FAULT_TIME = Duration.ofSeconds(2);
     private static final Duration HANDOVER_TIME = Duration.ofMillis(200);
 
     private final ManualTimers mTimers;
@@ -93,6 +94,7 @@
             case STORE_FAULTS -> {
                 FakeStore.WriteFault[] kinds = FakeStore.WriteFault.values();
                 var random = FaultPlan.random(fault.seed());
+                mTimers.after(STORE_FAULT_TIME, mStore.mWriteFaults::clear);
                 for (int i = random.nextInt(6); i >= 0; i--) {
                     mStore.mWriteFaults.add(kinds[random.nextInt(kinds.length)]);
                 }
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
@@ -4,6 +4,8 @@
 enum FaultKind {
     /** Calls to a worker are delayed, lost, or carried out seconds after they were given up. */
     BAD_CALLS,
+    /** Calls to a worker and their answers are delayed a little and overtake each other. */
+    SLOW_CALLS,
     /** A worker crashes and starts again under its identifier. */
     WORKER_RESTART,
     /** A worker crashes and another one starts on its VM. */
