Explorer: workers that are lost for good

A replaced worker or a restarted VM with the longest down time now stays away, and its loss counts as settled after 2 s.

--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredSystem.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredSystem.java
@@ -155,7 +155,8 @@
                     case STORE_FAULTS -> 5_000;
                     default -> fault.lengthMillis();
                 };
-        return fault.atMillis() + effectMillis;
+        boolean lost = fault.lengthMillis() == FaultPlan.LOST_MILLIS;
+        return fault.atMillis() + (lost ? 2_000 : effectMillis);
     }
 
     private void apply(FaultEvent fault) {
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultPlan.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultPlan.java
@@ -22,6 +22,9 @@
     /** Time in milliseconds during which jobs are submitted and faults begin. */
     static final int LOAD_MILLIS = 8_000;
 
+    /** Down time in milliseconds of a worker that does not return during the run. */
+    static final int LOST_MILLIS = 100_000;
+
     private static final int[] TASK_MILLIS = {200, 800, 2_500};
     private static final int[] LENGTHS_MILLIS = {5, 50, 200, 500, 1_500, 4_000, 9_000};
     private static final int[] SPREADS_MILLIS = {50, 500, 3_000};
@@ -49,24 +52,27 @@
                 moment = 1_500 + random.nextInt(LOAD_MILLIS - 3_500);
             }
             FaultKind kind = kinds.get(random.nextInt(kinds.size()));
+            long atMillis = moment + random.nextInt(spread);
+            int target = random.nextInt(4) == 0 ? random.nextInt(VMS) : vm;
             events.add(
                     new FaultEvent(
-                            moment + random.nextInt(spread),
+                            atMillis,
                             kind,
-                            random.nextInt(4) == 0 ? random.nextInt(VMS) : vm,
-                            lengthMillis(random, kind),
+                            target,
+                            lengthMillis(random, kind, target),
                             random.nextLong()));
         }
         events.sort(Comparator.comparingLong(FaultEvent::atMillis));
         return new FaultPlan(seed, taskMillis, maxListedEnds, List.copyOf(events));
     }
 
-    private static int lengthMillis(UniformRandomProvider random, FaultKind kind) {
+    private static int lengthMillis(UniformRandomProvider random, FaultKind kind, int vm) {
         int drawn = pick(random, LENGTHS_MILLIS);
         return switch (kind) {
             case SLOW_CALLS -> LOAD_MILLIS;
             case BAD_CALLS -> Math.max(drawn, 500);
             case AGENT_RESTART -> Math.min(drawn, 1_500);
+            case VM_RESTART, WORKER_REPLACEMENT -> drawn == 9_000 && vm > 0 ? LOST_MILLIS : drawn;
             default -> drawn;
         };
     }
