--- a/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.stream.Collectors;
 import java.util.stream.LongStream;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -39,7 +38,6 @@
      * some of the ends (929, 1575), or a restart that no renewal has shown (1810). The seeds depend
      * on the draws of {@link FaultPlan}.
      */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(longs = {207, 821, 835, 929, 1575, 1810})
     void tasksRunOnceUnderFaultsThatOnceBrokeARule(long seed) {
@@ -50,7 +48,6 @@
      * Guards against a progress message that repeats a list from before a start of the former agent
      * process.
      */
-    @Tag("known-red")
     @Test
     void startOfFormerAgentProcessIsNotReleased() {
         check(
@@ -69,7 +66,6 @@
      * Guards against a lease that ends on the clock of the former incarnation. The restarted worker
      * keeps it beyond the time after which the owner gives up a VM whose agent is gone.
      */
-    @Tag("known-red")
     @Test
     void restartedWorkerGetsNoLeaseOnTheFormerClock() {
         check(
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -188,7 +188,8 @@
             carryOut(worker, order, deadlineMillis, term, done);
         } else {
             mDelayedStarts++;
-            mTimers.after(mStartArrivalDelay, () -> carryOut(worker, order, deadlineMillis, term, done));
+            mTimers.after(
+                    mStartArrivalDelay, () -> carryOut(worker, order, deadlineMillis, term, done));
         }
     }
 
