--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -42,6 +42,7 @@
     private final Timers mTimers;
     private final WorkerClient mWorkerClient;
     private final DecisionLog mLog;
+    private final RunLog mRunLog;
     private final RunTable mRuns = new RunTable();
     private final LeaseAuthority mAuthority;
     private final FillerThrottle mThrottle;
@@ -108,6 +109,7 @@
         mTimers = timers;
         mWorkerClient = workerClient;
         mLog = log;
+        mRunLog = new RunLog(log);
         mAuthority = new LeaseAuthority(clock, settings.taskLease());
         mThrottle = new FillerThrottle(clock, workerClient, log, mRuns);
         mUnansweredStarts = new UnansweredStarts(clock, workerClient, log);
@@ -238,7 +240,7 @@
                 worker != null && mWorker != null && mWorker.id().id().equals(worker.id().id());
         if (sameId) {
             mRuns.clearListed()
-                    .forEach(run -> logRemoval(run, "ended with the former incarnation"));
+                    .forEach(run -> mRunLog.removed(run, "ended with the former incarnation"));
         } else {
             mRuns.clear();
         }
@@ -251,10 +253,6 @@
         mAuthority.reset();
     }
 
-    private void logRemoval(Run run, String reason) {
-        mLog.record("task.removed", run.mTask, "run", run.mNumber, "reason", reason);
-    }
-
     /**
      * Changes to an incarnation that answers under the identifier of the known one, which has ended
      * with all its runs. Nothing is started on it and none of its ends is acknowledged until its
@@ -386,7 +384,7 @@
         if (renewed.conclusive()) {
             mListsGrant = request.newestGrant();
             mRuns.removeAbsent(renewed.running(), request.sentAtMillis())
-                    .forEach(run -> logRemoval(run, "not in the worker's lists"));
+                    .forEach(run -> mRunLog.removed(run, "not in the worker's lists"));
             expireUnansweredStarts(renewed.workerClockMillis(), request);
         }
         if (mNoWorkerReason != null) {
@@ -410,23 +408,13 @@
      */
     private void reportState(Reported reported, long workerClockMillis, ListRequest request) {
         mReported = reported;
-        mLog.record(
-                "worker.reported",
+        mRunLog.reported(
                 mWorker.id(),
-                "term",
                 mTerm,
-                "extent",
                 reported,
-                "list_age_ms",
                 mClock.monotonicMillis() - request.sentAtMillis(),
-                "worker_clock",
                 workerClockMillis,
-                "starting",
-                mRuns.starting().size(),
-                "running",
-                mRuns.running().size(),
-                "ended",
-                mRuns.unacknowledged().size());
+                mRuns);
         mOwner.send(
                 new NodeMessage.Report(
                         request.newestGrant(),
@@ -478,11 +466,7 @@
         Run run = mRuns.addOrdered(order, mWorker.id(), deadlineMillis, mClock.monotonicMillis());
         run.mClockReadingMillis = mAuthority.latestReadingMillis();
         mWorkerClient.start(
-                mWorker.id(),
-                order,
-                deadlineMillis,
-                mTerm,
-                reply -> handleStartReply(order, run, reply));
+                mWorker.id(), order, deadlineMillis, mTerm, reply -> handleStartReply(run, reply));
     }
 
     /** Returns the time on the worker's clock until which it may carry out an order sent now. */
@@ -515,7 +499,7 @@
                 : null;
     }
 
-    private void handleStartReply(StartOrder order, Run run, StartReply reply) {
+    private void handleStartReply(Run run, StartReply reply) {
         if (reply instanceof StartReply.NoAnswer) {
             mUnansweredStarts.add(run);
         }
@@ -523,13 +507,13 @@
             detectRestart(run, started);
         }
         if (mRuns.find(run.mTask, run.mNumber) != run) {
-            mLog.record("task.start_ignored", run.mTask, "run", run.mNumber, "answer", reply);
+            mRunLog.answerIgnored(run, reply);
             return;
         }
         switch (reply) {
             case StartReply.Started started -> {
                 run.markStarted(mClock.monotonicMillis());
-                reportStarted(order, started);
+                reportStarted(run, started);
                 mThrottle.apply(mWorker.id(), mTerm);
             }
             case StartReply.Refused refused -> {
@@ -541,17 +525,7 @@
             }
             case StartReply.NoAnswer none -> {
                 run.mUnanswered = true;
-                mLog.record(
-                        "task.start_unanswered",
-                        run.mTask,
-                        "run",
-                        run.mNumber,
-                        "worker",
-                        run.mOrderedFrom,
-                        "deadline",
-                        run.mDeadlineMillis,
-                        "cause",
-                        none.reason());
+                mRunLog.unanswered(run, none);
             }
         }
     }
@@ -573,45 +547,20 @@
 
     private void reportNotStarted(Run run, StartOutcome outcome, String reason) {
         mRuns.remove(run);
-        mLog.record("task.not_started", run.mTask, "run", run.mNumber, "reason", reason);
+        mRunLog.notStarted(run, reason);
         sendToOwner(new NodeMessage.Outcome(run.mTask, run.mNumber, outcome));
     }
 
     /** Reports a start; the owner waits for nothing that depends on it, so it is not urgent. */
-    private void reportStarted(StartOrder order, StartReply.Started reply) {
-        mLog.record(
-                "task.start",
-                order.task(),
-                "run",
-                order.run(),
-                "outcome",
-                StartOutcome.STARTED,
-                "worker",
-                mWorker.id(),
-                "answered_by",
-                optionalText(reply.incarnation()),
-                "worker_clock",
-                optionalText(reply.workerClockMillis()));
+    private void reportStarted(Run run, StartReply.Started reply) {
+        mRunLog.started(run, mWorker.id(), reply);
         if (mOwner != null && mReported == Reported.ALL_RUNS) {
-            mOwner.sendLater(
-                    new NodeMessage.Outcome(order.task(), order.run(), StartOutcome.STARTED));
+            mOwner.sendLater(new NodeMessage.Outcome(run.mTask, run.mNumber, StartOutcome.STARTED));
         }
     }
 
-    private static String optionalText(OptionalLong value) {
-        return value.isPresent() ? Long.toString(value.getAsLong()) : "unknown";
-    }
-
     private void reportOutcome(StartOrder order, StartOutcome outcome, String reason) {
-        mLog.record(
-                "task.start",
-                order.task(),
-                "run",
-                order.run(),
-                "outcome",
-                outcome,
-                "reason",
-                reason);
+        mRunLog.refused(order, outcome, reason);
         sendToOwner(new NodeMessage.Outcome(order.task(), order.run(), outcome));
     }
 
