--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -494,8 +494,8 @@
     private long coveredBefore(OrderCoverage coverage) {
         return switch (coverage) {
             case OrderCoverage.AllOrders all -> Long.MAX_VALUE;
-            case OrderCoverage.ListsRequestedAfter settled ->
-                    settled.requestedAfterMillis() - mState.mSettings.orderTimeout().toMillis();
+            case OrderCoverage.ListsRequestedAfter lists ->
+                    lists.requestedAfterMillis() - mState.mSettings.orderTimeout().toMillis();
             case OrderCoverage.NoOrders none -> Long.MIN_VALUE;
         };
     }
