Remember which incarnation accepted a stop, instead of a flag beside the last one

An order kept a flag that its stop was accepted and, apart from it, the incarnation that was sent a stop last. An answer of an earlier incarnation's stop, arriving after the next one was sent, would have set the flag for the wrong incarnation. The accepting incarnation says both. Found by reading; no run showed it.

--- a/node/src/main/java/org/knapweedbank/node/agent/UnansweredStarts.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/UnansweredStarts.java
@@ -63,7 +63,6 @@
     private void sendStop(Order order, WorkerId worker, long term) {
         mLog.record("task.revoke", order.mTask, "run", order.mRun, "worker", worker);
         order.mStopSentTo = worker;
-        order.mRevoked = false;
         mWorkerClient.stop(
                 worker,
                 order.mTask,
@@ -71,9 +70,9 @@
                 term,
                 accepted -> {
                     if (accepted) {
-                        order.mRevoked = true;
+                        order.mRevokedOn = worker;
                         order.mRevokedAtMillis = mClock.monotonicMillis();
-                    } else {
+                    } else if (order.isStopSentTo(worker)) {
                         order.mStopSentTo = null;
                     }
                 });
@@ -101,7 +100,9 @@
         /** Incarnation to which a stop was sent last; null if none or if it got no answer. */
         private WorkerId mStopSentTo;
 
-        private boolean mRevoked;
+        /** Incarnation that has accepted a stop last; null if none has. */
+        private WorkerId mRevokedOn;
+
         private long mRevokedAtMillis;
 
         Order(Run run, long unansweredAtMillis) {
@@ -127,7 +128,7 @@
         }
 
         boolean isRevoked(WorkerId worker, long beforeMillis) {
-            return mRevoked && isStopSentTo(worker) && mRevokedAtMillis < beforeMillis;
+            return worker.equals(mRevokedOn) && mRevokedAtMillis < beforeMillis;
         }
     }
 }
