--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -254,10 +254,7 @@
     @Test
     void orderCarriedOutByNextIncarnationDoesNotRunTaskTwice() {
         mTimers.advance(Duration.ofSeconds(20));
-        submit("a");
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(5));
-        mTimers.advance(Duration.ofMillis(500));
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        startJobWithOrdersCarriedOutAfter(Duration.ofSeconds(5));
         VmFixture restarted = mVms.get(0);
         restarted.mWorker.crash();
         restarted.mWorker.mDraining = true;
@@ -274,10 +271,7 @@
     void orderGivenUpBeforeRestartDoesNotRunTaskTwice() {
         mTimers.advance(Duration.ofSeconds(20));
         VmFixture restarted = mVms.get(0);
-        submit("a");
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(8));
-        mTimers.advance(Duration.ofMillis(500));
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        startJobWithOrdersCarriedOutAfter(Duration.ofSeconds(8));
         restarted.mWorker.mDraining = true;
         restarted.sendStatusReport();
         mTimers.advance(Duration.ofSeconds(4));
@@ -294,10 +288,7 @@
     void orderThatOutlivesAgentAndWorkerDoesNotRunTaskTwice() {
         mTimers.advance(Duration.ofSeconds(20));
         VmFixture restarted = mVms.get(0);
-        submit("a");
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(5));
-        mTimers.advance(Duration.ofMillis(500));
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        startJobWithOrdersCarriedOutAfter(Duration.ofSeconds(5));
         restarted.mWorker.crash();
         restarted.killAgent();
         restarted.startAgent();
@@ -316,10 +307,7 @@
     void orderGivenUpShortlyBeforeRestartDoesNotRunTaskTwice() {
         mTimers.advance(Duration.ofSeconds(20));
         VmFixture restarted = mVms.get(0);
-        submit("a");
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(8));
-        mTimers.advance(Duration.ofMillis(500));
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        startJobWithOrdersCarriedOutAfter(Duration.ofSeconds(8));
         restarted.mWorker.mDraining = true;
         restarted.sendStatusReport();
         mTimers.advance(Duration.ofMillis(7_100));
@@ -464,6 +452,14 @@
                 false);
     }
 
+    /** Submits a job whose orders get no answer and are carried out late; ends 500 ms later. */
+    private void startJobWithOrdersCarriedOutAfter(Duration delay) {
+        submit("a");
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = delay);
+        mTimers.advance(Duration.ofMillis(500));
+        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+    }
+
     private void submitJobsFor(Duration duration) {
         submitJobsFor(duration, Duration.ofMillis(250));
     }
@@ -498,10 +494,7 @@
     @Test
     void orderThatOutlivesLeaseDoesNotRunTaskTwiceOnNextIncarnation() {
         mTimers.advance(Duration.ofSeconds(20));
-        submit("a");
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(8));
-        mTimers.advance(Duration.ofMillis(500));
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        startJobWithOrdersCarriedOutAfter(Duration.ofSeconds(8));
         VmFixture restarted = mVms.get(0);
         restarted.mWorker.crash();
         mTimers.advance(Duration.ofMillis(7_300));
@@ -520,10 +513,7 @@
     @Tag("known-red")
     void orderSentBeforeWorkerLeftDoesNotRunTaskTwiceOnNextIncarnation() {
         mTimers.advance(Duration.ofSeconds(20));
-        submit("a");
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ofSeconds(5));
-        mTimers.advance(Duration.ofMillis(500));
-        mVms.forEach(vm -> vm.mWorker.mStartDelay = Duration.ZERO);
+        startJobWithOrdersCarriedOutAfter(Duration.ofSeconds(5));
         VmFixture restarted = mVms.get(0);
         restarted.leaveWorker();
         mTimers.advance(Duration.ofSeconds(3));
