Review case 7: a late renewal makes a worker's next life forget its ends

A renewal that is carried out after the worker has started again under its id acknowledges ends that nobody has read, and done tasks run again. The cases of silent channels and of the two cancels become 8, 9 and 10.

--- a/review/8/Case8.java
+++ b/review/8/Case8.java
@@ -3,20 +3,31 @@
 import java.util.List;
 
 /**
- * The owner freezes for four seconds. Another entry takes over and accepts a submission. Its
- * requester cancels it over a channel that it has open to the frozen entry.
+ * The open channels between the agents and their workers go silent for good, while new ones work. A
+ * submission of many short tasks has been run before, so that each agent has as many channels open
+ * as it keeps.
  */
 public final class Case8 {
-    private static final String ID = "00000000000000c8";
+    private static final String SHORT_ID = "00000000000000d8";
+    private static final String LASTING_ID = "00000000000000c8";
 
-    /** Two tasks, one after the other. */
-    private static final String SUBMISSION =
-            "{\"spec\":\"8000,1000\",\"steps\":["
-                    + "{\"count\":1,\"cpu\":1000,\"mem_mb\":1000,\"estimate_ms\":8000},"
-                    + "{\"count\":1,\"cpu\":1000,\"mem_mb\":1000,\"estimate_ms\":1000,\"after\":[0]}]}";
+    /** Twenty short tasks for each of the three workers. */
+    private static final String SHORT =
+            "{\"spec\":\"500\",\"steps\":[{\"count\":60,\"cpu\":500,\"mem_mb\":500,"
+                    + "\"estimate_ms\":500,\"max_per_server\":20}]}";
 
-    private static final long FREEZE_MS = 4_000;
-    private static final long WATCH_MS = 13_000;
+    /** One task that lasts. */
+    private static final String LASTING =
+            "{\"spec\":\"0\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":1000,"
+                    + "\"estimate_ms\":500,\"long_running\":true}]}";
+
+    /** From this time after its last run, a task that lasts has to run. */
+    private static final long RESTART_MS = 6_000;
+
+    /** Time for which nothing may run then, with the 4 s before it calm. */
+    private static final long IDLE_MS = 3_000;
+
+    private static final long WATCH_MS = 30_000;
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
@@ -35,61 +46,38 @@
     }
 
     private static int play(Fleet fleet, Record record, boolean trouble) throws Exception {
-        Fleet.Machine owner = fleet.owner();
-        Fleet.Machine other = fleet.entries.get(1);
-        HttpClient openChannel = Http.client();
-        fleet.call(openChannel, owner, "GET", "", "", 3_000);
-        if (trouble) {
-            fleet.signal(owner, "STOP");
-            long thawAt = Record.now() + FREEZE_MS;
-            Thread.ofPlatform().start(() -> thaw(fleet, owner, thawAt));
-        }
-
-        // The requester hands the submission in at another entry, and again while it is refused.
         HttpClient client = Http.client();
-        long endMs = Record.now() + FREEZE_MS - 500;
-        while (fleet.call(client, other, "POST", ID, SUBMISSION, 3_000).status() != 200) {
-            if (Record.now() > endMs) {
-                record.line("no other entry has accepted the submission during the freeze");
-                return 2;
-            }
-            Thread.sleep(100);
-        }
-
-        // It cancels; without an answer, or told that it can't be done now, it asks the others.
-        Http.Answer answer = fleet.call(openChannel, owner, "DELETE", ID, "", 3_000);
-        for (int i = 0; i < 20 && answer.status() != 200 && answer.status() != 410; i++) {
-            Thread.sleep(200);
-            answer = fleet.call(client, fleet.entries.get(i % 3), "DELETE", ID, "", 3_000);
-        }
-        if (answer.status() != 200 && answer.status() != 410) {
-            record.line("the cancelling was not acknowledged");
+        Fleet.Machine entry = fleet.entries.get(1);
+        fleet.call(client, entry, "POST", LASTING_ID, LASTING, 3_000);
+        fleet.call(client, entry, "POST", SHORT_ID, SHORT, 3_000);
+        Thread.sleep(4_000);
+        if (fleet.runsOf(LASTING_ID).size() != 1) {
+            record.line("the task that lasts has not started once");
             return 2;
         }
-        long acknowledgedMs = Record.now();
-        Thread.sleep(WATCH_MS);
-        fleet.call(client, other, "GET", ID, "", 3_000);
-
-        // UNASKED: a start later than cancel_ms after the acknowledgement. The agent beside the
-        // worker has been in touch all the while: only the former owner has been disturbed.
-        List<Worker.Run> late =
-                fleet.runsOf(ID).stream()
-                        .filter(run -> run.startedMs > acknowledgedMs + Fleet.CANCEL_MS)
-                        .toList();
-        for (Worker.Run run : late) {
-            record.line(
-                    "started " + (run.startedMs - acknowledgedMs)
-                            + " ms after the acknowledgement: " + run.task + " on " + run.worker);
+        if (trouble) {
+            for (Proxy proxy : fleet.callProxies) {
+                record.line(proxy.silenceOpenChannels() + " channels of an agent go silent");
+            }
         }
-        return late.isEmpty() ? 0 : 1;
-    }
+        long endMs = Record.now() + WATCH_MS;
+        boolean broken = false;
+        while (Record.now() < endMs) {
+            Thread.sleep(20);
+            List<Worker.Run> runs = fleet.runsOf(LASTING_ID);
+            Worker.Run last = runs.get(runs.size() - 1);
 
-    private static void thaw(Fleet fleet, Fleet.Machine owner, long atMs) {
-        try {
-            Thread.sleep(Math.max(0, atMs - Record.now()));
-            fleet.signal(owner, "CONT");
-        } catch (Exception e) {
-            throw new IllegalStateException(e);
+            // LOST: for 3 s nothing runs, from 6 s after the last run. The channels have gone silent
+            // at one moment, so that the 4 s before are calm. The workers are idle.
+            if (!broken
+                    && last.how != null
+                    && Record.now() > last.endedMs + RESTART_MS + IDLE_MS) {
+                broken = true;
+                record.line(
+                        "nothing of the submission has run for " + (Record.now() - last.endedMs)
+                                + " ms, while all workers are free and can be reached");
+            }
         }
+        return broken ? 1 : 0;
     }
 }
--- a/review/standin-2/Fleet.java
+++ b/review/standin-2/Fleet.java
@@ -93,15 +93,10 @@
         for (int i = 0; i < agents.size(); i++) {
             Machine agent = agents.get(i);
             start(agent);
-            String rack = "r-" + agent.zone;
-            String control = agent.host + ":" + CONTROL_PROXY_PORT;
             reportProxies.add(
                     new Proxy(agent.host, CONTROL_PROXY_PORT, agent.host, CONTROL_PORT));
             callProxies.add(new Proxy(agent.host, APP_PROXY_PORT, agent.host, APP_PORT));
-            String address = agent.host + ":" + APP_PROXY_PORT;
-            workers.add(
-                    new Worker(
-                            record, runs, "w" + i, agent.host, APP_PORT, address, control, rack));
+            workers.add(worker(i));
         }
         for (Machine entry : entries) {
             waitUntilReady(entry);
@@ -109,6 +104,25 @@
         record.line("the owner is " + owner().name);
     }
 
+    /** Starts another life of a worker that has crashed, under the id that it had. */
+    void restart(int number) throws IOException {
+        workers.set(number, worker(number));
+        record.line("worker w" + number + " starts again under its id");
+    }
+
+    private Worker worker(int number) throws IOException {
+        Machine agent = agents.get(number);
+        return new Worker(
+                record,
+                runs,
+                "w" + number,
+                agent.host,
+                APP_PORT,
+                agent.host + ":" + APP_PROXY_PORT,
+                agent.host + ":" + CONTROL_PROXY_PORT,
+                "r-" + agent.zone);
+    }
+
     /** Starts the process of a machine. */
     void start(Machine machine) throws IOException {
         ProcessBuilder builder = new ProcessBuilder(machine.command);
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -31,6 +31,9 @@
         long startedMs;
         long endedMs;
         String how;
+
+        /** True once last_seen has reached the end. */
+        boolean noted;
     }
 
     private record End(long number, Run run) {}
@@ -52,7 +55,15 @@
     private long fence;
     private long leaseEnd;
     private long lastEnd;
+    private long lastListed;
     private long sequence;
+
+    /** True from the order to hold a renewal back until one is. */
+    private boolean holdsBack;
+
+    /** Body of a renewal that has got no answer and has not been carried out yet. */
+    private JsonNode heldBack;
+
     private boolean draining;
     private long drainsUntil;
     private boolean lost;
@@ -118,7 +129,31 @@
         lose();
     }
 
-    /** The worker is gone for good, and all that runs on it. */
+    /** The next renewal with an acknowledgement gets no answer and is not carried out yet. */
+    synchronized void holdNextRenewalBack() {
+        holdsBack = true;
+    }
+
+    /** Returns the body of the renewal that is held back; null if there is none. */
+    synchronized JsonNode heldBack() {
+        return heldBack;
+    }
+
+    /** Carries out a renewal that came late; its caller has long gone. */
+    synchronized void carryOutLate(JsonNode renewal) {
+        record.line("worker " + id + " carries a late renewal out: " + renewal);
+        if (renewal.path("fencing_token").asLong() >= fence) {
+            forgetEnds(renewal.path("last_seen").asLong());
+            extendLease(renewal.path("deadline_ms").asLong());
+        }
+    }
+
+    /** Returns the number of ends that no answer has listed yet. */
+    synchronized int unlistedEnds() {
+        return ends.tailMap(lastListed, false).size();
+    }
+
+    /** The worker is gone, for good or until another life starts, and all that runs on it. */
     void lose() {
         synchronized (this) {
             lost = true;
@@ -213,6 +248,12 @@
                 exchange.close();
                 return;
             }
+            if (holdsBack && body.path("last_seen").asLong() > 0) {
+                holdsBack = false;
+                heldBack = body;
+                record.line("worker " + id + " leaves a renewal unanswered: " + body);
+                return;
+            }
             try {
                 status = carryOut(exchange, body, answer);
             } catch (InterruptedException e) {
@@ -288,7 +329,7 @@
     }
 
     private int hold(JsonNode body, ObjectNode answer) throws InterruptedException {
-        ends.headMap(body.path("last_seen").asLong(), true).clear();
+        forgetEnds(body.path("last_seen").asLong());
         if (body.has("deadline_ms")) {
             extendLease(body.path("deadline_ms").asLong());
         }
@@ -304,11 +345,18 @@
         ArrayNode over = answer.putArray("ended");
         for (End end : ends.values()) {
             Run run = end.run();
+            lastListed = Math.max(lastListed, end.number());
             over.addArray().add(end.number()).add(run.task).add(run.number).add(run.how).add("");
         }
         return 200;
     }
 
+    private void forgetEnds(long lastSeen) {
+        Map<Long, End> seen = ends.headMap(lastSeen, true);
+        seen.values().forEach(end -> end.run().noted = true);
+        seen.clear();
+    }
+
     private void extendLease(long deadline) {
         leaseEnd = Math.max(leaseEnd, Math.min(deadline, clock() + MAX_HOLD_MS));
     }
