--- a/review/10/Case10.java
+++ b/review/10/Case10.java
@@ -3,33 +3,30 @@
 import java.util.List;
 
 /**
- * The store is slow for a second. A requester leaves before its submission is answered and cancels
- * it.
+ * A zone is lost for good: its entry, which is the owner, and the machines of two workers, one of
+ * which runs a task that lasts. The other zones have nothing else to do.
  */
 public final class Case10 {
-    private static final String ID = "00000000000000ca";
+    private static final int MAX_SUBMISSIONS = 5;
 
-    /** Two tasks, one after the other. */
+    /** One task that lasts; its data is in the rack of the zone that is lost. */
     private static final String SUBMISSION =
-            "{\"spec\":\"8000,1000\",\"steps\":["
-                    + "{\"count\":1,\"cpu\":1000,\"mem_mb\":1000,\"estimate_ms\":8000},"
-                    + "{\"count\":1,\"cpu\":1000,\"mem_mb\":1000,\"estimate_ms\":1000,\"after\":[0]}]}";
+            "{\"spec\":\"0\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":1000,"
+                    + "\"estimate_ms\":500,\"long_running\":true,\"preferred_rack\":\"r-zone-0\"}]}";
 
-    /** 4 ms, 60 times as long. */
-    private static final long SLOW_ANSWER_MS = 240;
+    /** From this time after its last run, a task that lasts has to run. */
+    private static final long RESTART_MS = 6_000;
 
-    private static final long SLOW_MS = 1_000;
+    /** Time for which nothing may run then, with the 4 s before it calm. */
+    private static final long IDLE_MS = 3_000;
 
-    /** Half the objective of the site's first kind of request. */
-    private static final int LEAVE_AFTER_MS = 125;
-
-    private static final long WATCH_MS = 13_000;
+    private static final long WATCH_MS = 25_000;
 
     public static void main(String[] args) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Record record = new Record(Path.of("review/10/record.txt"));
         int result = 2;
-        try (Fleet fleet = new Fleet(record, 3, 1)) {
+        try (Fleet fleet = new Fleet(record, 3, 2)) {
             fleet.start();
             fleet.warmUp();
             result = play(fleet, record, trouble);
@@ -42,55 +39,59 @@
     }
 
     private static int play(Fleet fleet, Record record, boolean trouble) throws Exception {
-        Fleet.Machine entry = fleet.entries.get(1);
         HttpClient client = Http.client();
-        fleet.call(client, entry, "GET", "", "", 3_000);
-        if (trouble) {
-            record.line("the store's answers take " + SLOW_ANSWER_MS + " ms from now on");
-            fleet.store.answerMillis = SLOW_ANSWER_MS;
-            Thread.ofPlatform().start(() -> endSlowness(fleet, record));
-        }
-
-        // The requester waits for its objective's half, then it leaves and cancels.
-        long sentMs = Record.now();
-        fleet.call(client, entry, "POST", ID, SUBMISSION, LEAVE_AFTER_MS);
-        Thread.sleep(Math.max(0, sentMs + LEAVE_AFTER_MS - Record.now()));
-        Http.Answer answer = fleet.call(client, entry, "DELETE", ID, "", 3_000);
-        for (int i = 0; i < 20 && answer.status() != 200 && answer.status() != 410; i++) {
-            Thread.sleep(200);
-            answer = fleet.call(client, fleet.entries.get(i % 3), "DELETE", ID, "", 3_000);
-        }
-        if (answer.status() != 200 && answer.status() != 410) {
-            record.line("the cancelling was not acknowledged");
+        String id = submitUntilInLostZone(fleet, client);
+        if (id == null || fleet.owner() != fleet.entries.get(0)) {
+            record.line("the task or the owner is not in the zone that is to be lost");
             return 2;
         }
-        long acknowledgedMs = Record.now();
-        Thread.sleep(WATCH_MS);
-        fleet.call(client, entry, "GET", ID, "", 3_000);
+        if (trouble) {
+            record.line("zone-0 is lost");
+            fleet.signal(fleet.entries.get(0), "KILL");
+            for (int i = 0; i < 2; i++) {
+                fleet.signal(fleet.agents.get(i), "KILL");
+                fleet.workers.get(i).lose();
+            }
+        }
+        long endMs = Record.now() + WATCH_MS;
+        boolean broken = false;
+        while (Record.now() < endMs) {
+            Thread.sleep(20);
+            List<Worker.Run> runs = fleet.runsOf(id);
+            Worker.Run last = runs.get(runs.size() - 1);
+            if (last.how == null) {
+                continue;
+            }
 
-        // UNASKED: a start later than cancel_ms after the acknowledgement, by an agent that has been
-        // in touch: its processes ran, and the store has been calm for contact_ms.
-        long earliestMs =
-                Math.max(
-                        acknowledgedMs + Fleet.CANCEL_MS,
-                        sentMs + SLOW_MS + SLOW_ANSWER_MS + Fleet.CONTACT_MS);
-        List<Worker.Run> late =
-                fleet.runsOf(ID).stream().filter(run -> run.startedMs > earliestMs).toList();
-        for (Worker.Run run : late) {
-            record.line(
-                    "started " + (run.startedMs - acknowledgedMs)
-                            + " ms after the acknowledgement: " + run.task + " on " + run.worker);
+            // LOST: for 3 s nothing runs, from 6 s after the last run. The loss was at one moment,
+            // so that the 4 s before are calm. Four workers of 32 cores each are free.
+            if (!broken && Record.now() > last.endedMs + RESTART_MS + IDLE_MS) {
+                broken = true;
+                record.line(
+                        "nothing of the submission has run for " + (Record.now() - last.endedMs)
+                                + " ms, while four workers are free");
+                fleet.call(client, fleet.entries.get(1), "GET", id, "", 3_000);
+            }
         }
-        return late.isEmpty() ? 0 : 1;
+        return broken ? 1 : 0;
     }
 
-    private static void endSlowness(Fleet fleet, Record record) {
-        try {
-            Thread.sleep(SLOW_MS);
-            fleet.store.answerMillis = 4;
-            record.line("the store's answers take 4 ms again");
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
+    /**
+     * Returns the identifier of a submission whose task runs in the zone that is to be lost, and
+     * cancels those whose task runs elsewhere; null if there is none after some tries.
+     */
+    private static String submitUntilInLostZone(Fleet fleet, HttpClient client) throws Exception {
+        Fleet.Machine entry = fleet.entries.get(1);
+        for (int i = 0; i < MAX_SUBMISSIONS; i++) {
+            String id = String.format("%016x", 0xca0 + i);
+            fleet.call(client, entry, "POST", id, SUBMISSION, 3_000);
+            Thread.sleep(4_000);
+            List<Worker.Run> runs = fleet.runsOf(id);
+            if (runs.size() == 1 && List.of("w0", "w1").contains(runs.get(0).worker)) {
+                return id;
+            }
+            fleet.call(client, entry, "DELETE", id, "", 3_000);
         }
+        return null;
     }
 }
