--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -47,7 +47,7 @@
      * @param clock source of monotonic and wall time
      * @param output receives the orders to agents
      * @param log receives the decision log
-     * @param term number of the term; each takeover raises it by one
+     * @param takeover takeover that begins the term
      * @param list VM list read from the store
      */
     public JobOwner(
@@ -55,11 +55,11 @@
             Clock clock,
             OwnerOutput output,
             DecisionLog log,
-            long term,
+            Takeover takeover,
             VmList list) {
-        mState = new OwnerState(settings, clock, output, log, term);
+        mState = new OwnerState(settings, clock, output, log, takeover);
         mRunTracker = new RunTracker(mState);
-        mVmTracker = new VmTracker(mState, mRunTracker, list);
+        mVmTracker = new VmTracker(mState, mRunTracker, list, takeover.knownToFormerOwner());
         mPlacer = new TaskPlacer(mState, mRunTracker, mVmTracker);
     }
 
@@ -121,13 +121,44 @@
         mState.mViewCurrentAt = Timestamp.now(mState.mClock);
     }
 
-    /** Records that the store has just confirmed the ownership. */
-    public void confirmOwnership() {
-        mState.mOwnershipConfirmedAt = Timestamp.now(mState.mClock);
+    /**
+     * Records that a write was carried out, which no later term had prevented.
+     *
+     * @param sentAt moment at which it was sent to the store
+     */
+    public void confirmByWrite(Timestamp sentAt) {
+        mState.confirmByWrite(sentAt);
+    }
+
+    /**
+     * Records that the store shows no later term, and which entries are registered.
+     *
+     * @param askedAt moment at which the store was asked
+     */
+    public void confirmByStore(Timestamp askedAt) {
+        mState.confirmByStore(askedAt);
+    }
+
+    /**
+     * Records that all other entries have stated that they have begun no later term.
+     *
+     * @param askedAt moment at which they were asked
+     */
+    public void confirmByEntries(Timestamp askedAt) {
+        mState.confirmByEntries(askedAt);
+    }
+
+    /**
+     * Returns how long ago no later term is known to have begun.
+     *
+     * @return the time since then
+     */
+    public Duration confirmationAge() {
+        return mState.confirmationAge();
     }
 
     /**
-     * Returns whether the store has confirmed the ownership recently enough to act as owner.
+     * Returns whether the ownership has been confirmed recently enough to act as owner.
      *
      * @return true if no later owner can act yet
      */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
@@ -8,7 +8,9 @@
  * @param taskLease longest lease that an agent may grant to the runs on its VM, counted from the
  *     request that the owner answered
  * @param renewalAuthority how long the owner continues to answer agents without a new confirmation
- *     of its ownership by the store
+ *     that no later term has begun
+ * @param maxStoreSilence how long the statements of all other entries may replace the confirmation
+ *     by the store
  * @param clockMargin margin added to each wait for the end of a lease that another process holds
  * @param maxViewAge maximum age of the known configuration and evacuations; with an older view no
  *     task is started
@@ -21,6 +23,7 @@
 public record OwnerSettings(
         Duration taskLease,
         Duration renewalAuthority,
+        Duration maxStoreSilence,
         Duration clockMargin,
         Duration maxViewAge,
         Duration orderTimeout,
@@ -42,7 +45,8 @@
 
     /**
      * Returns the time after a takeover at which all leases that an earlier owner allowed on an
-     * unreachable VM have expired.
+     * unreachable VM have expired, provided that it needed a statement of the present owner to go
+     * on.
      *
      * @return the time
      */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
+import java.time.Duration;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -64,18 +65,26 @@
      */
     Timestamp mViewCurrentAt = Timestamp.NEVER;
 
-    /** Moment at which the store last confirmed the ownership. */
-    Timestamp mOwnershipConfirmedAt;
+    /** Latest moment at which no later term is known to have begun. */
+    private Timestamp mConfirmedAt;
+
+    /** Latest moment at which the store has shown that, together with all entries. */
+    private Timestamp mEntriesReadAt;
 
     OwnerState(
-            OwnerSettings settings, Clock clock, OwnerOutput output, DecisionLog log, long term) {
+            OwnerSettings settings,
+            Clock clock,
+            OwnerOutput output,
+            DecisionLog log,
+            Takeover takeover) {
         mSettings = settings;
         mClock = clock;
         mOutput = output;
         mLog = log;
-        mTerm = term;
+        mTerm = takeover.term();
         mTakenOverAt = clock.monotonicMillis();
-        mOwnershipConfirmedAt = Timestamp.now(clock);
+        mConfirmedAt = takeover.claimedAt();
+        mEntriesReadAt = takeover.claimedAt();
     }
 
     /** Returns the monotonic time in milliseconds. */
@@ -156,8 +165,42 @@
         return job.urgency(now(), () -> JobUrgency.of(job, mClock.wallTime(), mRunTimeEstimator));
     }
 
-    /** Returns whether the store has confirmed the ownership recently enough to act as owner. */
+    /** Records that no later term had begun when a write was sent to the store. */
+    void confirmByWrite(Timestamp sentAt) {
+        mConfirmedAt = later(mConfirmedAt, sentAt);
+    }
+
+    /**
+     * Records that no later term had begun when the store was asked at the given moment, and that
+     * it has shown all entries that were registered then.
+     */
+    void confirmByStore(Timestamp askedAt) {
+        mEntriesReadAt = later(mEntriesReadAt, askedAt);
+        mConfirmedAt = later(mConfirmedAt, askedAt);
+    }
+
+    /**
+     * Records that no other entry had begun a later term when all were asked at the given moment.
+     * After a long silence of the store this proves nothing, as entries may have started that this
+     * owner has not heard of.
+     */
+    void confirmByEntries(Timestamp askedAt) {
+        if (mEntriesReadAt.ageMillis(mClock) <= mSettings.maxStoreSilence().toMillis()) {
+            mConfirmedAt = later(mConfirmedAt, askedAt);
+        }
+    }
+
+    private Timestamp later(Timestamp first, Timestamp second) {
+        return first.ageMillis(mClock) <= second.ageMillis(mClock) ? first : second;
+    }
+
+    /** Returns the time since the latest moment at which no later term is known to have begun. */
+    Duration confirmationAge() {
+        return Duration.ofMillis(mConfirmedAt.ageMillis(mClock));
+    }
+
+    /** Returns whether the ownership has been confirmed recently enough to act as owner. */
     boolean ownershipConfirmed() {
-        return mOwnershipConfirmedAt.ageMillis(mClock) <= mSettings.renewalAuthority().toMillis();
+        return confirmationAge().compareTo(mSettings.renewalAuthority()) <= 0;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -54,16 +54,23 @@
     /** VMs that earlier owners listed and that have not reported their runs to this owner yet. */
     private final Map<DaemonId, ListedVm> mUnresolvedVms;
 
+    /**
+     * Time after the takeover for which the former owner may have gone on although it has been
+     * replaced, beyond what it was allowed to without a confirmation.
+     */
+    private final Duration mFormerOwnerDelay;
+
     /** Monotonic time in milliseconds of the last search for unreachable VMs. */
     private long mUnreachableCheckedAt = Long.MIN_VALUE / 2;
 
     /** Monotonic time in milliseconds of the last update of the unreachable times. */
     private long mUnreachableTimesUpdatedAt;
 
-    VmTracker(OwnerState state, RunTracker runTracker, VmList list) {
+    VmTracker(OwnerState state, RunTracker runTracker, VmList list, boolean knownToFormerOwner) {
         mState = state;
         mRunTracker = runTracker;
         mVmList = list;
+        mFormerOwnerDelay = knownToFormerOwner ? Duration.ZERO : state.mSettings.maxStoreSilence();
         mHangDetector = new HangDetector(state, runTracker);
         mUnresolvedVms = new HashMap<>(list.vms());
         mUnreachableTimesUpdatedAt = state.mTakenOverAt;
@@ -98,14 +105,16 @@
 
     /**
      * Returns how long a VM has been unreachable, summed over all terms. The time between two terms
-     * does not count.
+     * does not count, nor does the time for which a former owner may have gone on.
      */
     private Duration unreachableFor(ListedVm vm) {
         return unreachableFor(vm.unreachableFor());
     }
 
     private Duration unreachableFor(Duration unreachableBefore) {
-        return unreachableBefore.plusMillis(mState.now() - mState.mTakenOverAt);
+        long sinceTakeover = mState.now() - mState.mTakenOverAt;
+        return unreachableBefore.plusMillis(
+                Math.max(0, sinceTakeover - mFormerOwnerDelay.toMillis()));
     }
 
     /** Handles the full state of a VM and aligns the tracked runs with it. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/JobOwnerTest.java
@@ -20,6 +20,7 @@
 import org.knapweedbank.jobs.WorkerInfo;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests of the life cycle of jobs under one owner. */
 class JobOwnerTest {
@@ -206,6 +207,7 @@
     void noTaskStartsOnOutdatedView() {
         mFixture.addVm("vm", 8_000);
         mFixture.mClock.advance(OwnerFixture.SETTINGS.maxViewAge().plusMillis(1));
+        mFixture.mOwner.confirmByStore(Timestamp.now(mFixture.mClock));
         mFixture.answerAgent("vm");
         mFixture.submit("a", OwnerFixture.step(1, 1_000, BATCH));
         mFixture.storeAndSchedule();
@@ -221,7 +223,7 @@
         mFixture.addVm("vm", 8_000);
         mFixture.mClock.advance(OwnerFixture.SETTINGS.renewalAuthority().plusMillis(1));
         assertThat(mFixture.answerAgent("vm")).isFalse();
-        mFixture.mOwner.confirmOwnership();
+        mFixture.mOwner.confirmByStore(Timestamp.now(mFixture.mClock));
         assertThat(mFixture.answerAgent("vm")).isTrue();
     }
 
@@ -309,7 +311,7 @@
                         clock,
                         new OwnerFixture(),
                         DecisionLog.NONE,
-                        1,
+                        new Takeover(1, Timestamp.now(clock), true),
                         new VmList());
         DaemonId vm = new DaemonId("vm");
         WorkerInfo worker = OwnerFixture.worker("vm", 1, 8_000, false);
@@ -320,7 +322,7 @@
         clock.mSuspended = Duration.ofSeconds(20);
         assertThat(owner.ownershipConfirmed()).isFalse();
         assertThat(owner.grantAuthority(vm, worker.id())).isFalse();
-        owner.confirmOwnership();
+        owner.confirmByStore(Timestamp.now(clock));
         assertThat(owner.grantAuthority(vm, worker.id())).isTrue();
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -31,6 +31,7 @@
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Job owner with a manual clock and a store that is written on demand. Records the orders to agents
@@ -42,8 +43,9 @@
     static final OwnerSettings SETTINGS =
             new OwnerSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(1),
                     Duration.ofSeconds(6),
-                    Duration.ofMillis(1_500),
+                    Duration.ofMillis(400),
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(4),
                     Duration.ofSeconds(150),
@@ -83,25 +85,31 @@
     record LogLine(String mEvent, Object mSubject, Map<Object, Object> mFields) {}
 
     OwnerFixture() {
-        this(new ManualClock(Instant.ofEpochSecond(1_000)), 1, new VmList());
+        this(new ManualClock(Instant.ofEpochSecond(1_000)), 1, new VmList(), true);
     }
 
-    OwnerFixture(ManualClock clock, long term, VmList list) {
+    OwnerFixture(ManualClock clock, long term, VmList list, boolean knownToFormerOwner) {
         mClock = clock;
         mTerm = term;
-        mOwner = new JobOwner(SETTINGS, clock, this, this::record, term, list);
+        Takeover takeover = new Takeover(term, Timestamp.now(clock), knownToFormerOwner);
+        mOwner = new JobOwner(SETTINGS, clock, this, this::record, takeover, list);
         mOwner.configure(List.of(queue(2)));
         mOwner.markViewCurrent();
     }
 
     /** Returns the owner of the next term, which has loaded what this owner has stored. */
     OwnerFixture createSuccessor() throws IOException {
-        return createSuccessor(VmList.decode(mListRecord, mOwner.vmList().revision()));
+        return createSuccessor(true);
+    }
+
+    /** Returns the owner of the next term, which this owner may not have known. */
+    OwnerFixture createSuccessor(boolean known) throws IOException {
+        return createSuccessor(VmList.decode(mListRecord, mOwner.vmList().revision()), known);
     }
 
     /** Returns the owner of the next term, which has read a given VM list. */
-    OwnerFixture createSuccessor(VmList list) throws IOException {
-        OwnerFixture successor = new OwnerFixture(mClock, mTerm + 1, list);
+    OwnerFixture createSuccessor(VmList list, boolean known) throws IOException {
+        OwnerFixture successor = new OwnerFixture(mClock, mTerm + 1, list, known);
         successor.mRevision = mRevision;
         successor.mListRecord = mListRecord;
         successor.mRecords.putAll(mRecords);
@@ -175,7 +183,7 @@
         VmList list = mOwner.vmList();
         mListRecord = list.encode();
         mOwner.markVmListWritten(list.version(), ++mRevision);
-        mOwner.confirmOwnership();
+        mOwner.confirmByStore(Timestamp.now(mClock));
         mOwner.acknowledge();
         mOwner.schedule();
     }
@@ -231,7 +239,7 @@
     void advanceTime(Duration time, String... vms) {
         mClock.advance(time);
         mOwner.markViewCurrent();
-        mOwner.confirmOwnership();
+        mOwner.confirmByStore(Timestamp.now(mClock));
         for (String vm : vms) {
             answerAgent(vm);
         }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -59,7 +59,7 @@
     @Test
     void earlierTaskWaitsForLeasesIfVmListIsUnreadable() throws IOException {
         startOneTask();
-        OwnerFixture newOwner = mEarlierOwner.createSuccessor(VmList.unreadable(7));
+        OwnerFixture newOwner = mEarlierOwner.createSuccessor(VmList.unreadable(7), true);
         newOwner.addVm("other", 8_000);
         Duration limit = OwnerFixture.SETTINGS.earlierLeaseTimeout();
         for (int second = 0; second < limit.toSeconds(); second++) {
@@ -130,6 +130,45 @@
         assertThat(newOwner.lastStart().mRunNumber()).isGreaterThan(order.mRunNumber());
     }
 
+    /**
+     * Guards against a second run of a task that a former owner keeps alive because it goes on with
+     * the statements of other entries and does not know of this one.
+     */
+    @Test
+    void earlierTaskWaitsLongerIfFormerOwnerDidNotKnowThisEntry() throws IOException {
+        startOneTask();
+        OwnerFixture newOwner = mEarlierOwner.createSuccessor(false);
+        newOwner.addVm("other", 8_000);
+        Duration timeout =
+                OwnerFixture.SETTINGS
+                        .earlierLeaseTimeout()
+                        .plus(OwnerFixture.SETTINGS.maxStoreSilence());
+        newOwner.advanceTime(timeout.minusMillis(100), "other");
+        assertThat(newOwner.mStarts).isEmpty();
+        newOwner.advanceTime(Duration.ofMillis(200), "other");
+        assertThat(newOwner.mStarts).hasSize(1);
+    }
+
+    /**
+     * Guards against a second run of such a task by a third owner, to which the unreachable time in
+     * the VM list does not tell that the former owner may have gone on.
+     */
+    @Test
+    void timeForWhichFormerOwnerMayHaveGoneOnDoesNotCountAsUnreachable() throws IOException {
+        startOneTask();
+        OwnerFixture second = mEarlierOwner.createSuccessor(false);
+        second.addVm("other", 8_000);
+        second.advanceTime(OwnerFixture.SETTINGS.maxStoreSilence(), "other");
+        second.storeAndSchedule();
+        OwnerFixture third = second.createSuccessor();
+        third.addVm("other", 8_000);
+        Duration timeout = OwnerFixture.SETTINGS.earlierLeaseTimeout();
+        third.advanceTime(timeout.minusMillis(100), "other");
+        assertThat(third.mStarts).isEmpty();
+        third.advanceTime(Duration.ofMillis(200), "other");
+        assertThat(third.mStarts).hasSize(1);
+    }
+
     /**
      * Guards against repeated takeovers that each wait the full time for a VM that no longer
      * exists.
--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -5,7 +5,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.owner.Takeover;
+import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.Timers;
 import org.knapweedbank.node.store.CoordinationStore;
 import org.knapweedbank.node.store.LeaseOutcome;
@@ -13,6 +17,8 @@
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.node.store.StoreItem;
 import org.knapweedbank.node.store.WriteOutcome;
+import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Registers this entry in the store and elects the owner. The owner's key is attached to the lease
@@ -23,6 +29,13 @@
 final class Election implements PrefixWatch.Listener {
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(450);
     private static final Duration MAX_WATCH_WAIT = Duration.ofMillis(1_000);
+
+    /**
+     * Maximum wait of the owner's watch calls. Each answer confirms the term as of its call, so
+     * this bounds the age of the owner's confirmation while the store answers.
+     */
+    private static final Duration MAX_OWNER_WATCH_WAIT = Duration.ofMillis(400);
+
     private static final Duration RETRY_DELAY = Duration.ofMillis(200);
 
     /**
@@ -31,10 +44,21 @@
      */
     private static final Duration RANK_DELAY = Duration.ofMillis(120);
 
+    /**
+     * Time without data after which a link is closed at the latest. A link that is open was open at
+     * both ends this time ago.
+     */
+    private static final long MAX_LINK_SILENCE_MILLIS = 2_500;
+
+    /** Value of {@link #mRegisteredAtMillis} while this entry's key may be missing. */
+    private static final long NOT_REGISTERED = -1;
+
     private final EntrySettings mSettings;
+    private final Clock mClock;
     private final CoordinationStore mStore;
     private final Timers mTimers;
     private final DecisionLog mLog;
+    private final OwnerContact mOwnerContact;
     private final ElectionListener mListener;
     private MembershipView mView = new MembershipView(Map.of());
     private boolean mViewLoaded;
@@ -44,9 +68,18 @@
 
     private boolean mLeaseCallPending;
 
+    /** Monotonic time in milliseconds since which the store has held this entry's key. */
+    private long mRegisteredAtMillis = NOT_REGISTERED;
+
     /** True while a claim is scheduled or being written. */
     private boolean mClaimPending;
 
+    /**
+     * Claim that has been sent and may be carried out as long as the term key is unchanged, with or
+     * without an answer; null if there is none.
+     */
+    private Claim mOpenClaim;
+
     /** Term of which this entry is the owner, 0 if it is not the owner. */
     private long mOwnTerm;
 
@@ -54,16 +87,29 @@
     private boolean mDeregistered;
     private boolean mStoreUnavailable;
 
+    /**
+     * Claim of the ownership.
+     *
+     * @param takeover the takeover if it succeeds
+     * @param termRevision revision of the term key on which it is conditional
+     * @param sameTerm true if it restores the key of an owner within its term
+     */
+    private record Claim(Takeover takeover, long termRevision, boolean sameTerm) {}
+
     Election(
             EntrySettings settings,
+            Clock clock,
             CoordinationStore store,
             Timers timers,
             DecisionLog log,
+            OwnerContact ownerContact,
             ElectionListener listener) {
         mSettings = settings;
+        mClock = clock;
         mStore = store;
         mTimers = timers;
         mLog = log;
+        mOwnerContact = ownerContact;
         mListener = listener;
     }
 
@@ -72,10 +118,11 @@
         mTimers.every(RENEWAL_INTERVAL, this::openOrRenewLease);
         new PrefixWatch(
                         mStore,
+                        mClock,
                         mTimers,
                         mLog,
                         StoreKeys.MEMBERSHIP_PREFIX,
-                        MAX_WATCH_WAIT,
+                        () -> mOwnTerm > 0 ? MAX_OWNER_WATCH_WAIT : MAX_WATCH_WAIT,
                         RETRY_DELAY,
                         this)
                 .start();
@@ -113,6 +160,27 @@
         return EntryDirectory.addresses(mView);
     }
 
+    /** Returns the names of the other entries that the store has shown. */
+    Set<DaemonId> otherEntries() {
+        return mView.entryNames().stream()
+                .filter(name -> !name.equals(mSettings.entry()))
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
+    /**
+     * Returns whether this entry has begun no term later than the given one. It may begin one right
+     * after; a claim without an answer may have begun one unseen.
+     */
+    boolean hasBegunNoTermAfter(long term) {
+        return mOwnTerm == 0 && !mClaimPending && mOpenClaim == null && mView.term() <= term;
+    }
+
+    /** Forgets the lease, with which the keys of this entry have ended. */
+    private void dropLease() {
+        mLeaseId = 0;
+        mRegisteredAtMillis = NOT_REGISTERED;
+    }
+
     private void openOrRenewLease() {
         if (mLeaseCallPending || mDeregistered) {
             return;
@@ -144,7 +212,7 @@
             case LeaseOutcome.Held ignored -> logStoreState(true, "");
             case LeaseOutcome.Ended ignored -> {
                 mLog.record("election.lease_ended", mLeaseId);
-                mLeaseId = 0;
+                dropLease();
                 openOrRenewLease();
             }
             case LeaseOutcome.Unavailable unavailable -> {
@@ -165,12 +233,30 @@
         mStore.write(
                 change,
                 outcome -> {
-                    if (leaseId == mLeaseId && !(outcome instanceof WriteOutcome.Written)) {
+                    if (leaseId != mLeaseId) {
+                        return;
+                    }
+                    if (outcome instanceof WriteOutcome.Written) {
+                        mRegisteredAtMillis = mClock.monotonicMillis();
+                    } else {
                         mTimers.after(RETRY_DELAY, this::retryRegistration);
                     }
                 });
     }
 
+    /** Registers again if the store has lost this entry's key although its lease goes on. */
+    private void restoreRegistration(Timestamp viewRequestedAt) {
+        boolean missing = !mView.entryNames().contains(mSettings.entry());
+        boolean expected =
+                mRegisteredAtMillis != NOT_REGISTERED
+                        && viewRequestedAt.monotonicMillis() > mRegisteredAtMillis;
+        if (missing && expected && !mDeregistered) {
+            mLog.record("election.key_lost", mLeaseId);
+            mRegisteredAtMillis = NOT_REGISTERED;
+            retryRegistration();
+        }
+    }
+
     private void retryRegistration() {
         if (mLeaseId != 0) {
             register();
@@ -178,11 +264,12 @@
     }
 
     @Override
-    public void itemsRefreshed(Map<String, StoreItem> items) {
+    public void itemsRefreshed(Map<String, StoreItem> items, Timestamp requestedAt) {
         logStoreState(true, "");
         mView = new MembershipView(items);
         mViewLoaded = true;
-        handleViewChange();
+        restoreRegistration(requestedAt);
+        handleViewChange(requestedAt);
     }
 
     @Override
@@ -191,19 +278,24 @@
     }
 
     /** Compares the owner in the store with this entry's state and notifies the listener. */
-    private void handleViewChange() {
+    private void handleViewChange(Timestamp requestedAt) {
         Optional<OwnerRecord> owner = mView.owner();
         if (mOwnTerm > 0 && mView.term() > mOwnTerm) {
             depose(mView.term());
         }
         boolean ownsKey = owner.isPresent() && isOwnRecord(owner.get());
         if (ownsKey && mOwnTerm == 0 && !mResigned && owner.get().term() == mView.term()) {
-            becomeOwner(owner.get().term(), mView.termRevision());
+            boolean known = mOpenClaim != null && mOpenClaim.takeover().knownToFormerOwner();
+            Takeover takeover = new Takeover(owner.get().term(), requestedAt, known);
+            becomeOwner(takeover, mView.termRevision());
         } else if (mOwnTerm > 0 && mView.term() == mOwnTerm) {
-            mListener.termConfirmed(mOwnTerm);
+            mListener.termConfirmed(mOwnTerm, requestedAt);
         } else if (!ownsKey) {
             owner.ifPresent(found -> mListener.ownerFound(found.address(), found.term()));
         }
+        if (mOpenClaim != null && mOpenClaim.termRevision() != mView.termRevision()) {
+            mOpenClaim = null;
+        }
         scheduleClaim();
     }
 
@@ -285,21 +377,67 @@
             byte[] value = Long.toString(term).getBytes(StandardCharsets.UTF_8);
             change.put(StoreKeys.TERM, value, 0);
         }
-        mStore.write(change, outcome -> handleClaimOutcome(term, sameTerm, outcome));
+        Takeover takeover = new Takeover(term, Timestamp.now(mClock), isKnownToOwner());
+        Claim claim = new Claim(takeover, mView.termRevision(), sameTerm);
+        boolean first = mOpenClaim == null;
+        mOpenClaim = claim;
+        mStore.write(change, outcome -> handleClaimOutcome(claim, first, outcome));
     }
 
-    private void handleClaimOutcome(long term, boolean sameTerm, WriteOutcome outcome) {
+    /**
+     * Returns whether the present owner needs a statement of this entry to go on without the store.
+     * While an earlier claim is open, what held for that one counts.
+     */
+    private boolean isKnownToOwner() {
+        return mRegisteredAtMillis != NOT_REGISTERED
+                && (hasBeenRegisteredForLong() || hasBeenLinkedSinceRegistration())
+                && (mOpenClaim == null || mOpenClaim.takeover().knownToFormerOwner());
+    }
+
+    /**
+     * Returns whether this entry has been registered for so long that an owner which has not seen
+     * its key has not heard of the store for longer than statements of the others count.
+     */
+    private boolean hasBeenRegisteredForLong() {
+        long registeredMillis = mClock.monotonicMillis() - mRegisteredAtMillis;
+        return registeredMillis > mSettings.owner().maxStoreSilence().toMillis();
+    }
+
+    /**
+     * Returns whether this entry was linked to the owner after its registration. The owner then has
+     * seen the link if it has not seen the key.
+     */
+    private boolean hasBeenLinkedSinceRegistration() {
+        long lastLinkedMillis = mOwnerContact.lastLinkedMillis(mView.term());
+        return lastLinkedMillis > mRegisteredAtMillis + MAX_LINK_SILENCE_MILLIS;
+    }
+
+    /**
+     * Handles the outcome of a claim.
+     *
+     * @param first false if an earlier claim was open, which this outcome does not settle
+     */
+    private void handleClaimOutcome(Claim claim, boolean first, WriteOutcome outcome) {
         mClaimPending = false;
-        mLog.record("election.stood", term, "outcome", outcome.getClass().getSimpleName());
+        if (first && !(outcome instanceof WriteOutcome.Unknown)) {
+            mOpenClaim = null;
+        }
+        mLog.record(
+                "election.stood",
+                claim.takeover().term(),
+                "outcome",
+                outcome.getClass().getSimpleName(),
+                "known_to_owner",
+                claim.takeover().knownToFormerOwner());
         switch (outcome) {
             case WriteOutcome.Written written -> {
-                if (!sameTerm) {
-                    becomeOwner(term, written.revision());
+                if (!claim.sameTerm()) {
+                    becomeOwner(claim.takeover(), written.revision());
                 }
             }
             case WriteOutcome.Conflict ignored -> {}
             case WriteOutcome.LeaseEnded ignored -> {
-                mLeaseId = 0;
+                dropLease();
                 openOrRenewLease();
             }
             case WriteOutcome.NotDone ignored -> mTimers.after(RETRY_DELAY, this::scheduleClaim);
@@ -307,16 +445,16 @@
         }
     }
 
-    private void becomeOwner(long term, long termRevision) {
-        if (term <= mOwnTerm || mResigned) {
+    private void becomeOwner(Takeover takeover, long termRevision) {
+        if (takeover.term() <= mOwnTerm || mResigned) {
             return;
         }
         if (mOwnTerm > 0) {
-            depose(term);
+            depose(takeover.term());
         }
-        mOwnTerm = term;
-        mLog.record("election.won", term);
-        mListener.elected(term, termRevision);
+        mOwnTerm = takeover.term();
+        mLog.record("election.won", takeover.term());
+        mListener.elected(takeover, termRevision);
     }
 
     private void depose(long newerTerm) {
--- a/node/src/main/java/org/knapweedbank/node/entry/ElectionListener.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/ElectionListener.java
@@ -1,15 +1,18 @@
 package org.knapweedbank.node.entry;
 
+import org.knapweedbank.jobs.owner.Takeover;
+import org.knapweedbank.time.Timestamp;
+
 /** Receives changes of the ownership. */
 interface ElectionListener {
     /**
      * This entry has become the owner. Its writes must be conditional on the given revision of the
      * term key.
      */
-    void elected(long term, long termRevision);
+    void elected(Takeover takeover, long termRevision);
 
-    /** The store has confirmed that this entry's term is still the newest. */
-    void termConfirmed(long term);
+    /** This entry's term was still the newest when the store was asked at the given moment. */
+    void termConfirmed(long term, Timestamp askedAt);
 
     /** This entry has lost the ownership to a later term. */
     void deposed(long newerTerm);
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryLink.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryLink.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.node.entry;
 
+import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.CallAnswer;
 import org.knapweedbank.node.link.Link;
 import org.knapweedbank.node.link.LinkListener;
@@ -9,24 +10,40 @@
 final class EntryLink implements LinkListener {
     private final OwnershipTerm mOwnership;
     private final Link mLink;
+    private final DaemonId mEntry;
 
-    EntryLink(OwnershipTerm ownership, Link link) {
+    EntryLink(OwnershipTerm ownership, Link link, DaemonId entry) {
         mOwnership = ownership;
         mLink = link;
+        mEntry = entry;
+    }
+
+    DaemonId entry() {
+        return mEntry;
+    }
+
+    void send(NodeMessage message) {
+        mLink.send(message);
+    }
+
+    void close(String reason) {
+        mLink.close(reason);
     }
 
     @Override
     public void received(NodeMessage message) {
-        if (message instanceof NodeMessage.Call call && mOwnership.isReady()) {
-            mOwnership.call(call.request(), answer -> sendReply(call.number(), answer));
-        } else {
-            mLink.close("unexpected message; only calls to the owner are accepted");
+        switch (message) {
+            case NodeMessage.Call call when mOwnership.isReady() ->
+                    mOwnership.call(call.request(), answer -> sendReply(call.number(), answer));
+            case NodeMessage.TermAnswer answer ->
+                    mOwnership.handleTermAnswer(answer.number(), mEntry);
+            default -> mLink.close("unexpected message; only calls to the owner are accepted");
         }
     }
 
     @Override
     public void closed(String reason) {
-        mOwnership.removeEntry(mLink);
+        mOwnership.removeEntry(this);
     }
 
     /**
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.owner.JobOwner;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.node.CallAnswer;
 import org.knapweedbank.node.CallRequest;
@@ -18,6 +19,7 @@
 import org.knapweedbank.node.link.OwnerListener;
 import org.knapweedbank.node.store.CoordinationStore;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Entry process: takes part in elections, schedules the jobs while it is the owner, and routes
@@ -33,6 +35,7 @@
     private final CoordinationStore mStore;
     private final LinkTransport mTransport;
     private final DecisionLog mLog;
+    private final OwnerContact mOwnerContact;
     private final Election mElection;
     private final CallRouter mRouter;
     private final OwnerConnector mConnector;
@@ -76,7 +79,8 @@
         mStore = store;
         mTransport = transport;
         mLog = log;
-        mElection = new Election(settings, store, timers, log, this);
+        mOwnerContact = new OwnerContact(clock);
+        mElection = new Election(settings, clock, store, timers, log, mOwnerContact, this);
         mRouter = new CallRouter(timers, log);
         mConnector =
                 new OwnerConnector(
@@ -141,10 +145,10 @@
     }
 
     @Override
-    public void elected(long term, long termRevision) {
-        mHighestTerm = Math.max(mHighestTerm, term);
+    public void elected(Takeover takeover, long termRevision) {
+        mHighestTerm = Math.max(mHighestTerm, takeover.term());
         mOwnerAddress = mSettings.address();
-        mConnector.send(new NodeMessage.Superseded(term, mSettings.address()));
+        mConnector.send(new NodeMessage.Superseded(takeover.term(), mSettings.address()));
         mConnector.stop();
         OwnershipTerm ownership =
                 new OwnershipTerm(
@@ -153,17 +157,18 @@
                         mTimers,
                         mStore,
                         mLog,
-                        term,
+                        takeover,
                         termRevision,
+                        mElection::otherEntries,
                         mElection::deposeIfOwner);
         mOwnership = ownership;
         ownership.load(owner -> serveAsOwner(ownership, owner));
     }
 
     @Override
-    public void termConfirmed(long term) {
+    public void termConfirmed(long term, Timestamp askedAt) {
         if (mJobOwner != null && mOwnership.term() == term) {
-            mJobOwner.confirmOwnership();
+            mOwnership.confirmByStore(askedAt);
         }
     }
 
@@ -224,6 +229,7 @@
     @Override
     public void connected(Link owner, long term) {
         mHighestTerm = term;
+        mOwnerContact.linked(term);
         mRouter.setRemoteOwner(owner);
     }
 
@@ -232,12 +238,18 @@
         switch (message) {
             case NodeMessage.Reply reply -> mRouter.complete(reply.number(), reply.answer());
             case NodeMessage.TakeOver request -> mElection.takeOver(request.term());
+            case NodeMessage.TermQuery query -> {
+                if (mElection.hasBegunNoTermAfter(query.term())) {
+                    mConnector.send(new NodeMessage.TermAnswer(query.number()));
+                }
+            }
             default -> mLog.record("entry.unexpected", message.getClass().getSimpleName());
         }
     }
 
     @Override
     public void disconnected() {
+        mOwnerContact.closed();
         mRouter.setRemoteOwner(null);
     }
 
@@ -314,8 +326,8 @@
             switch (message) {
                 case NodeMessage.AgentHello hello when isServing() ->
                         mListener = mOwnership.acceptAgent(mLink, hello);
-                case NodeMessage.EntryHello ignored when isServing() ->
-                        mListener = mOwnership.acceptEntry(mLink);
+                case NodeMessage.EntryHello hello when isServing() ->
+                        mListener = mOwnership.acceptEntry(mLink, hello);
                 default -> sendRedirect();
             }
         }
--- a/node/src/main/java/org/knapweedbank/node/entry/MembershipView.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/MembershipView.java
@@ -4,6 +4,9 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.store.StoreItem;
 
 /** Decodes the membership keys of the store: the entries, the owner and the term. */
@@ -73,6 +76,16 @@
         return entries;
     }
 
+    /** Returns the names of all registered entries, also of those with a malformed record. */
+    Set<DaemonId> entryNames() {
+        return mItems.keySet().stream()
+                .filter(key -> key.startsWith(StoreKeys.ENTRY_PREFIX))
+                .map(key -> key.substring(StoreKeys.ENTRY_PREFIX.length()))
+                .filter(name -> !name.isEmpty())
+                .map(DaemonId::new)
+                .collect(Collectors.toUnmodifiableSet());
+    }
+
     private long revision(String key) {
         StoreItem item = mItems.get(key);
         return item == null ? 0 : item.revision();
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -11,6 +11,8 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.stream.Collectors;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.OrderCoverage;
 import org.knapweedbank.jobs.RunProfile;
@@ -22,6 +24,7 @@
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerOutput;
 import org.knapweedbank.jobs.owner.SubmitResult;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.jobs.owner.VmList;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
@@ -35,6 +38,7 @@
 import org.knapweedbank.node.store.ReadOutcome;
 import org.knapweedbank.node.store.StoreItem;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Term in which this entry is the owner. Loads the records from the store, serves agents and calls,
@@ -57,6 +61,14 @@
      */
     private static final long TAKEOVER_REQUEST_MILLIS = 600;
 
+    /**
+     * Age of the confirmation from which on the other entries are asked. The store's answers are
+     * younger while it works.
+     */
+    private static final Duration MIN_POLL_AGE = Duration.ofMillis(500);
+
+    private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
+
     /** Delay that a caller is told to wait while the ownership is not confirmed. */
     private static final Duration OWNER_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -75,15 +87,23 @@
     private final Timers mTimers;
     private final CoordinationStore mStore;
     private final DecisionLog mLog;
-    private final long mTerm;
+    private final Takeover mTakeover;
     private final long mTermRevision;
+    private final Supplier<Set<DaemonId>> mOtherEntries;
     private final Runnable mOnDeposed;
     private final Map<DaemonId, AgentLink> mAgentLinks = new HashMap<>();
 
     /** Start time of each agent's process, by which a restart of the agent is detected. */
     private final Map<DaemonId, Long> mAgentProcessStarts = new HashMap<>();
 
-    private final List<Link> mEntryLinks = new ArrayList<>();
+    private final List<EntryLink> mEntryLinks = new ArrayList<>();
+    private final TermPoll mPoll;
+
+    /**
+     * Entries that were linked at some time since the store has last shown the registered ones.
+     * They may be registered since, and take over.
+     */
+    private final Set<DaemonId> mRecentlyLinked = new HashSet<>();
 
     /** Keys of job records that could not be read; the records are kept as they are. */
     private final Set<String> mUnreadableKeys = new HashSet<>();
@@ -94,30 +114,44 @@
     private RecordWriter mWriter;
     private Runnable mCancelSchedule = () -> {};
     private long mTakeoverRequestedAtMillis = Long.MIN_VALUE / 2;
+    private long mPolledAtMillis = Long.MIN_VALUE / 2;
+
+    /** Whether the ownership was confirmed in the last round; changes are logged. */
+    private boolean mConfirmed = true;
+
     private boolean mSchedulePending;
     private boolean mStopped;
 
+    /**
+     * Creates the term.
+     *
+     * @param otherEntries supplies the names of the other entries that the store has shown
+     * @param onDeposed runs when a write shows that a later term has begun
+     */
     OwnershipTerm(
             EntrySettings settings,
             Clock clock,
             Timers timers,
             CoordinationStore store,
             DecisionLog log,
-            long term,
+            Takeover takeover,
             long termRevision,
+            Supplier<Set<DaemonId>> otherEntries,
             Runnable onDeposed) {
         mSettings = settings;
         mClock = clock;
         mTimers = timers;
         mStore = store;
         mLog = log;
-        mTerm = term;
+        mTakeover = takeover;
         mTermRevision = termRevision;
+        mOtherEntries = otherEntries;
         mOnDeposed = onDeposed;
+        mPoll = new TermPoll(clock);
     }
 
     long term() {
-        return mTerm;
+        return mTakeover.term();
     }
 
     /** Returns whether the records are loaded and the ownership has not ended. */
@@ -207,19 +241,46 @@
             previous.mLink.close("replaced by a newer link of the same agent");
             mOwner.handleDisconnect(hello.agent());
         }
-        link.send(new NodeMessage.Welcome(mTerm));
+        link.send(new NodeMessage.Welcome(term()));
         return agent;
     }
 
     /** Accepts the link of an entry, which forwards calls. */
-    LinkListener acceptEntry(Link link) {
-        mEntryLinks.add(link);
-        link.send(new NodeMessage.Welcome(mTerm));
-        return new EntryLink(this, link);
+    LinkListener acceptEntry(Link link, NodeMessage.EntryHello hello) {
+        EntryLink entry = new EntryLink(this, link, hello.entry());
+        mEntryLinks.add(entry);
+        mRecentlyLinked.add(hello.entry());
+        link.send(new NodeMessage.Welcome(term()));
+        return entry;
     }
 
-    void removeEntry(Link link) {
-        mEntryLinks.remove(link);
+    void removeEntry(EntryLink entry) {
+        mEntryLinks.remove(entry);
+    }
+
+    /** Handles that the store has shown this term to be the newest, and all registered entries. */
+    void confirmByStore(Timestamp askedAt) {
+        mRecentlyLinked.clear();
+        mRecentlyLinked.addAll(linkedEntries());
+        mOwner.confirmByStore(askedAt);
+    }
+
+    private Set<DaemonId> linkedEntries() {
+        return mEntryLinks.stream().map(EntryLink::entry).collect(Collectors.toSet());
+    }
+
+    /** Returns the other entries that may take over. */
+    private Set<DaemonId> possibleSuccessors() {
+        Set<DaemonId> successors = new HashSet<>(mOtherEntries.get());
+        successors.addAll(mRecentlyLinked);
+        return successors;
+    }
+
+    /** Handles the statement of an entry that it had begun no later term at a query. */
+    void handleTermAnswer(long number, DaemonId entry) {
+        if (isReady()) {
+            mPoll.handleAnswer(number, entry).ifPresent(mOwner::confirmByEntries);
+        }
     }
 
     @Override
@@ -296,7 +357,8 @@
     private void finishLoad(
             List<StoreItem> vmItems, List<StoreItem> jobs, Consumer<JobOwner> onLoaded) {
         JobOwner owner =
-                new JobOwner(mSettings.owner(), mClock, this, mLog, mTerm, decodeVmList(vmItems));
+                new JobOwner(
+                        mSettings.owner(), mClock, this, mLog, mTakeover, decodeVmList(vmItems));
         for (StoreItem item : jobs) {
             try {
                 owner.load(item.value(), item.revision());
@@ -307,7 +369,13 @@
         }
         mOwner = owner;
         mWriter = new RecordWriter(owner, mStore, mTimers, mClock, mLog, mTermRevision, this);
-        mLog.record("owner.loaded", mTerm, "jobs", jobs.size());
+        mLog.record(
+                "owner.loaded",
+                term(),
+                "jobs",
+                jobs.size(),
+                "known_to_former_owner",
+                mTakeover.knownToFormerOwner());
         mCancelSchedule = mTimers.every(SCHEDULE_INTERVAL, this::schedule);
         onLoaded.accept(owner);
     }
@@ -398,6 +466,8 @@
         if (isReady()) {
             writeFailed();
             requestTakeover();
+            pollEntries();
+            logConfirmation();
             long startedAtNanos = mClock.monotonicNanos();
             mOwner.schedule();
             mPacer.roundTook(Duration.ofNanos(mClock.monotonicNanos() - startedAtNanos));
@@ -413,7 +483,48 @@
                         && mWriter.lastWriteFailed();
         if (due && nowMillis - mTakeoverRequestedAtMillis > TAKEOVER_REQUEST_MILLIS) {
             mTakeoverRequestedAtMillis = nowMillis;
-            mEntryLinks.forEach(link -> link.send(new NodeMessage.TakeOver(mTerm)));
+            mEntryLinks.forEach(link -> link.send(new NodeMessage.TakeOver(term())));
+        }
+    }
+
+    /**
+     * Asks the other entries whether one of them has begun a later term, while the store does not
+     * tell. As long as none has, this owner may go on, so that an outage of the store ends no
+     * lease.
+     */
+    private void pollEntries() {
+        long nowMillis = mClock.monotonicMillis();
+        boolean due =
+                mOwner.confirmationAge().compareTo(MIN_POLL_AGE) >= 0
+                        && nowMillis - mPolledAtMillis >= POLL_INTERVAL.toMillis();
+        if (!due) {
+            return;
+        }
+        mPolledAtMillis = nowMillis;
+        Set<DaemonId> successors = possibleSuccessors();
+        if (successors.isEmpty()) {
+            mOwner.confirmByEntries(Timestamp.now(mClock));
+            return;
+        }
+        if (linkedEntries().containsAll(successors)) {
+            long number = mPoll.open(successors);
+            mEntryLinks.forEach(link -> link.send(new NodeMessage.TermQuery(term(), number)));
+        }
+    }
+
+    private void logConfirmation() {
+        boolean confirmed = mOwner.ownershipConfirmed();
+        if (confirmed != mConfirmed) {
+            mConfirmed = confirmed;
+            mLog.record(
+                    confirmed ? "owner.confirmed" : "owner.unconfirmed",
+                    term(),
+                    "age_ms",
+                    mOwner.confirmationAge().toMillis(),
+                    "other_entries",
+                    possibleSuccessors().size(),
+                    "linked",
+                    mEntryLinks.size());
         }
     }
 
--- a/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/RecordWriter.java
@@ -17,6 +17,7 @@
 import org.knapweedbank.node.store.StoreItem;
 import org.knapweedbank.node.store.WriteOutcome;
 import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Writes the owner's changed records to the store in batches, one batch at a time. Each batch is
@@ -160,8 +161,10 @@
         mWriteInProgress = true;
         mJobsInWrite = versions.keySet();
         mWriteStartedAtMillis = mClock.monotonicMillis();
+        Timestamp sentAt = Timestamp.now(mClock);
         mStore.write(
-                change, outcome -> writeFinished(versions, vmListVersion, removedJobs, outcome));
+                change,
+                outcome -> writeFinished(versions, vmListVersion, removedJobs, sentAt, outcome));
     }
 
     /**
@@ -197,6 +200,7 @@
             Map<Job, Long> versions,
             long vmListVersion,
             List<Job> removedJobs,
+            Timestamp sentAt,
             WriteOutcome outcome) {
         mWriteInProgress = false;
         mJobsInWrite = Set.of();
@@ -219,7 +223,7 @@
                     mOwner.markVmListWritten(vmListVersion, revision);
                 }
                 removedJobs.forEach(mOwner::removeJob);
-                mOwner.confirmOwnership();
+                mOwner.confirmByWrite(sentAt);
                 mListener.recordsWritten();
                 writeChanges();
             }
--- a/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeCodec.java
@@ -54,6 +54,8 @@
     private static final int DESCRIBE = 18;
     private static final int SUPERSEDED = 19;
     private static final int TAKE_OVER = 20;
+    private static final int TERM_QUERY = 21;
+    private static final int TERM_ANSWER = 22;
 
     /** Buffer of an encoder in bytes; most messages are smaller, larger ones use several. */
     private static final int ENCODER_BUFFER_BYTES = 512;
@@ -101,6 +103,9 @@
             case NodeMessage.Superseded m ->
                     out.packInt(SUPERSEDED).packLong(m.term()).packString(m.ownerAddress());
             case NodeMessage.TakeOver m -> out.packInt(TAKE_OVER).packLong(m.term());
+            case NodeMessage.TermQuery m ->
+                    out.packInt(TERM_QUERY).packLong(m.term()).packLong(m.number());
+            case NodeMessage.TermAnswer m -> out.packInt(TERM_ANSWER).packLong(m.number());
             case NodeMessage.Ping m ->
                     packOptionalWorker(out.packInt(PING).packLong(m.number()), m.worker());
             case NodeMessage.Pong m -> out.packInt(PONG).packLong(m.number());
@@ -154,6 +159,8 @@
             case REDIRECT -> new NodeMessage.Redirect(in.unpackString());
             case SUPERSEDED -> new NodeMessage.Superseded(in.unpackLong(), in.unpackString());
             case TAKE_OVER -> new NodeMessage.TakeOver(in.unpackLong());
+            case TERM_QUERY -> new NodeMessage.TermQuery(in.unpackLong(), in.unpackLong());
+            case TERM_ANSWER -> new NodeMessage.TermAnswer(in.unpackLong());
             case PING -> new NodeMessage.Ping(in.unpackLong(), unpackOptionalWorker(in));
             case PONG -> new NodeMessage.Pong(in.unpackLong());
             case REPORT -> new NodeMessage.Report(in.unpackLong(), unpackReport(in));
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -178,6 +178,21 @@
      */
     record TakeOver(long term) implements NodeMessage {}
 
+    /**
+     * Query of the owner to another entry whether it has begun a later term.
+     *
+     * @param term term of the owner
+     * @param number number of the query
+     */
+    record TermQuery(long term, long number) implements NodeMessage {}
+
+    /**
+     * Statement of an entry that it has begun no term later than that of the query.
+     *
+     * @param number number of the query
+     */
+    record TermAnswer(long number) implements NodeMessage {}
+
     /**
      * Answer of the owner to a forwarded call.
      *
--- a/node/src/main/java/org/knapweedbank/node/store/PrefixWatch.java
+++ b/node/src/main/java/org/knapweedbank/node/store/PrefixWatch.java
@@ -3,8 +3,11 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.function.Supplier;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.node.Timers;
+import org.knapweedbank.time.Clock;
+import org.knapweedbank.time.Timestamp;
 
 /**
  * Keeps a copy of all items whose keys have a prefix. It reads the items once, watches them from
@@ -12,10 +15,11 @@
  */
 public final class PrefixWatch {
     private final CoordinationStore mStore;
+    private final Clock mClock;
     private final Timers mTimers;
     private final DecisionLog mLog;
     private final String mPrefix;
-    private final Duration mMaxWait;
+    private final Supplier<Duration> mMaxWait;
     private final Duration mRetryDelay;
     private final Listener mListener;
     private final Map<String, StoreItem> mItems = new HashMap<>();
@@ -24,22 +28,25 @@
      * Creates the watch, which {@link #start} starts.
      *
      * @param store the store
+     * @param clock source of time
      * @param timers timers of the process
      * @param log receives failures of the listener
      * @param prefix prefix of the items
-     * @param maxWait maximum time that a watch call waits for a change
+     * @param maxWait supplies the maximum time that a watch call waits for a change
      * @param retryDelay delay before the items are read again after the store gave no usable answer
      * @param listener receives the items
      */
     public PrefixWatch(
             CoordinationStore store,
+            Clock clock,
             Timers timers,
             DecisionLog log,
             String prefix,
-            Duration maxWait,
+            Supplier<Duration> maxWait,
             Duration retryDelay,
             Listener listener) {
         mStore = store;
+        mClock = clock;
         mTimers = timers;
         mLog = log;
         mPrefix = prefix;
@@ -54,15 +61,16 @@
     }
 
     private void read() {
-        mStore.read(mPrefix, false, this::handleRead);
+        Timestamp requestedAt = Timestamp.now(mClock);
+        mStore.read(mPrefix, false, outcome -> handleRead(requestedAt, outcome));
     }
 
-    private void handleRead(ReadOutcome outcome) {
+    private void handleRead(Timestamp requestedAt, ReadOutcome outcome) {
         switch (outcome) {
             case ReadOutcome.Items items -> {
                 mItems.clear();
                 items.items().forEach(item -> mItems.put(item.key(), item));
-                notifyListener();
+                notifyListener(requestedAt);
                 watch(items.revision());
             }
             case ReadOutcome.Unavailable unavailable -> retryRead(unavailable.reason());
@@ -70,14 +78,16 @@
     }
 
     private void watch(long revision) {
-        mStore.watch(mPrefix, revision, mMaxWait, this::handleWatch);
+        Timestamp requestedAt = Timestamp.now(mClock);
+        mStore.watch(
+                mPrefix, revision, mMaxWait.get(), outcome -> handleWatch(requestedAt, outcome));
     }
 
-    private void handleWatch(WatchOutcome outcome) {
+    private void handleWatch(Timestamp requestedAt, WatchOutcome outcome) {
         switch (outcome) {
             case WatchOutcome.Events events -> {
                 events.events().forEach(this::apply);
-                notifyListener();
+                notifyListener(requestedAt);
                 watch(events.revision());
             }
             case WatchOutcome.HistoryGone ignored -> read();
@@ -86,9 +96,9 @@
     }
 
     /** Passes the items to the listener. The watch continues if the listener fails on them. */
-    private void notifyListener() {
+    private void notifyListener(Timestamp requestedAt) {
         try {
-            mListener.itemsRefreshed(Map.copyOf(mItems));
+            mListener.itemsRefreshed(Map.copyOf(mItems), requestedAt);
         } catch (RuntimeException e) {
             mLog.record("watch.listener_failed", mPrefix, "cause", e);
         }
@@ -113,8 +123,10 @@
          * Handles a refresh of the copy, which may be unchanged.
          *
          * @param items all current items, by key
+         * @param requestedAt moment at which the store was asked; the answer may have been held up
+         *     since, but tells the state at this moment or later
          */
-        void itemsRefreshed(Map<String, StoreItem> items);
+        void itemsRefreshed(Map<String, StoreItem> items, Timestamp requestedAt);
 
         /**
          * Handles a read or watch to which the store gave no usable answer.
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -26,6 +26,7 @@
 import org.knapweedbank.jobs.owner.OwnerOutput;
 import org.knapweedbank.jobs.owner.OwnerSettings;
 import org.knapweedbank.jobs.owner.SubmitResult;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.jobs.owner.VmList;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
@@ -39,6 +40,7 @@
 import org.knapweedbank.node.link.Link;
 import org.knapweedbank.node.link.NodeMessage;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Simulation of an owner and one agent per VM, linked without delay, with simulated workers. */
 final class BatchWorld implements OwnerOutput {
@@ -49,8 +51,9 @@
     private static final OwnerSettings OWNER_SETTINGS =
             new OwnerSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(1),
                     Duration.ofSeconds(6),
-                    Duration.ofMillis(1_500),
+                    Duration.ofMillis(400),
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(4),
                     Duration.ofSeconds(150),
@@ -78,7 +81,14 @@
     BatchWorld(List<Long> vmCapacities, long seed) throws java.io.IOException {
         mClock.advance(Duration.ofSeconds(10));
         VmList emptyVmList = JobOwner.decodeVmList(new byte[0], 0);
-        mOwner = new JobOwner(OWNER_SETTINGS, mClock, this, DecisionLog.NONE, 1, emptyVmList);
+        mOwner =
+                new JobOwner(
+                        OWNER_SETTINGS,
+                        mClock,
+                        this,
+                        DecisionLog.NONE,
+                        new Takeover(1, Timestamp.now(mClock), true),
+                        emptyVmList);
         mOwner.configure(List.of(queue(BATCH_QUEUE, 2), queue(SERVING_QUEUE, 0)));
         advanceOneStep();
         for (int i = 0; i < vmCapacities.size(); i++) {
@@ -231,7 +241,7 @@
         mTimers.advance(Duration.ofMillis(STEP_MILLIS));
         mNodes.values().forEach(node -> node.mWorker.advance(STEP_MILLIS));
         mOwner.markViewCurrent();
-        mOwner.confirmOwnership();
+        mOwner.confirmByStore(Timestamp.now(mClock));
         mOwner.dirtyJobs(Integer.MAX_VALUE)
                 .forEach(job -> mOwner.markWritten(job, job.version(), ++mRevision));
         mOwner.markVmListWritten(mOwner.vmList().version(), ++mRevision);
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -11,14 +11,17 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.ManualTimers;
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests the election of the owner among entries. */
 class ElectionTest {
     private static final Duration TTL = Duration.ofSeconds(3);
+    private static final Duration SILENCE = Duration.ofSeconds(6);
 
     /** Number of further restarts during which a restarted entry is away. */
     private static final int RESTART_STEPS = 3;
@@ -30,6 +33,8 @@
     /** Entry that records the events of its election. */
     private final class Candidate implements ElectionListener {
         private final List<Long> mTermsWon = new ArrayList<>();
+        private final List<Takeover> mTakeovers = new ArrayList<>();
+        private final OwnerContact mOwnerContact = new OwnerContact(mClock);
         private final Election mElection;
         private String mOwnerAddress = "";
         private int mDepositions;
@@ -40,22 +45,31 @@
         }
 
         Candidate(String name, double cpuShare, long processStartMillis) {
-            OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, TTL, TTL, TTL, 1);
+            OwnerSettings owner = new OwnerSettings(TTL, TTL, SILENCE, TTL, TTL, TTL, TTL, 1);
             EntrySettings settings =
                     new EntrySettings(
                             new DaemonId(name), processStartMillis, name, 1, cpuShare, TTL, owner);
-            mElection = new Election(settings, mStore, mTimers, DecisionLog.NONE, this);
+            mElection =
+                    new Election(
+                            settings,
+                            mClock,
+                            mStore,
+                            mTimers,
+                            DecisionLog.NONE,
+                            mOwnerContact,
+                            this);
             mElection.start();
         }
 
         @Override
-        public void elected(long term, long termRevision) {
-            mTermsWon.add(term);
+        public void elected(Takeover takeover, long termRevision) {
+            mTermsWon.add(takeover.term());
+            mTakeovers.add(takeover);
             assertThat(mStore.item(StoreKeys.TERM).revision()).isEqualTo(termRevision);
         }
 
         @Override
-        public void termConfirmed(long term) {
+        public void termConfirmed(long term, Timestamp askedAt) {
             mConfirmedTerm = term;
         }
 
@@ -297,6 +311,118 @@
         assertThat(only.mElection.addresses()).containsExactly("a:1");
     }
 
+    /**
+     * Guards against a former owner that goes on with the statements of others because it does not
+     * know the next one, while that one counts on being known.
+     */
+    @Test
+    void newEntryIsNotKnownToTheFormerOwner() {
+        Candidate first = new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        advanceSeconds(1);
+        first.mElection.deregister(() -> {});
+        advanceSeconds(3);
+        assertThat(second.mTakeovers.getLast().knownToFormerOwner()).isFalse();
+    }
+
+    /**
+     * Guards against a takeover that takes longer although the former owner has seen the link of
+     * the next one, and against a link that may have ended before the registration.
+     */
+    @Test
+    void entryLinkedSinceItsRegistrationIsKnownToTheFormerOwner() {
+        for (int linkedMillis : new int[] {2_000, 2_900}) {
+            Candidate first = new Candidate("a" + linkedMillis, 9);
+            advanceSeconds(8);
+            Candidate second = new Candidate("b" + linkedMillis, 5);
+            second.mOwnerContact.linked(first.mTermsWon.getLast());
+            mTimers.advance(Duration.ofMillis(linkedMillis));
+            second.mOwnerContact.closed();
+            first.mElection.deregister(() -> {});
+            mTimers.advance(Duration.ofMillis(2_500));
+            assertThat(second.mTakeovers.getLast().knownToFormerOwner())
+                    .isEqualTo(linkedMillis > 2_500);
+            second.mElection.deregister(() -> {});
+            advanceSeconds(8);
+        }
+    }
+
+    /** Guards against a takeover that takes longer although the former owner knew the next one. */
+    @Test
+    void entryThatRegisteredLongAgoIsKnownToTheFormerOwner() {
+        Candidate first = new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        mTimers.advance(SILENCE.plusSeconds(1));
+        first.mElection.deregister(() -> {});
+        advanceSeconds(3);
+        assertThat(second.mTakeovers.getLast().knownToFormerOwner()).isTrue();
+    }
+
+    /**
+     * Guards against a takeover that takes longer because the watch shows it before the claim is
+     * answered.
+     */
+    @Test
+    void takeoverThatTheWatchShowsFirstIsKnownToTheFormerOwner() {
+        Candidate first = new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        mTimers.advance(SILENCE.plusSeconds(1));
+        mStore.mWriteAnswerDelay = Duration.ofSeconds(2);
+        second.mElection.takeOver(1);
+        advanceSeconds(4);
+        assertThat(first.mDepositions).isEqualTo(1);
+        assertThat(second.mTermsWon).containsExactly(2L);
+        assertThat(second.mTakeovers.getLast().knownToFormerOwner()).isTrue();
+    }
+
+    /** Guards against an entry that counts as known although the store has lost its key. */
+    @Test
+    void entryWhoseKeyWasLostRegistersAgainAndIsNotKnown() {
+        Candidate first = new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        mTimers.advance(SILENCE.plusSeconds(1));
+        mStore.apply(new StoreChange().remove(StoreKeys.entry(new DaemonId("b"))));
+        advanceSeconds(2);
+        assertThat(mStore.item(StoreKeys.entry(new DaemonId("b")))).isNotNull();
+        first.mElection.deregister(() -> {});
+        advanceSeconds(2);
+        assertThat(second.mTakeovers.getLast().knownToFormerOwner()).isFalse();
+    }
+
+    /** Guards against a statement that no term has begun by an entry that claims or has one. */
+    @Test
+    void entryStatesThatItHasBegunNoTermOnlyWhileItHasNoClaim() {
+        Candidate first = new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        advanceSeconds(1);
+        assertThat(first.mElection.hasBegunNoTermAfter(1)).isFalse();
+        assertThat(second.mElection.hasBegunNoTermAfter(1)).isTrue();
+        second.mElection.takeOver(1);
+        assertThat(second.mElection.hasBegunNoTermAfter(1)).isFalse();
+    }
+
+    /**
+     * Guards against a statement by an entry whose claim got no answer and may be carried out
+     * unseen.
+     */
+    @Test
+    void entryWithUncertainClaimStatesNothing() {
+        new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        advanceSeconds(1);
+        mStore.mWriteFaults.add(FakeStore.WriteFault.SILENT);
+        second.mElection.takeOver(1);
+        advanceSeconds(3);
+        assertThat(second.mTermsWon).isEmpty();
+        assertThat(second.mElection.hasBegunNoTermAfter(1)).isFalse();
+    }
+
     private void put(String key, String value) {
         StoreChange change = new StoreChange().put(key, value.getBytes(UTF_8), 0);
         mStore.write(change, outcome -> {});
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
@@ -2,19 +2,37 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
+import org.apache.commons.rng.UniformRandomProvider;
 import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.link.Link;
+import org.knapweedbank.node.link.LinkListener;
+import org.knapweedbank.node.link.NodeMessage;
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Owners of the explorer, one after the other, and their store. */
 final class ExploredOwners {
     static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(6);
+    private static final Duration LEASE = Duration.ofSeconds(5);
+
+    /** Time after which the next owner replaces one that was killed. */
+    private static final Duration OWNER_KEY_LEASE = Duration.ofSeconds(6);
+
+    /** Maximum time after which the next owner replaces one that was cut off. */
+    private static final int MAX_TAKEOVER_MILLIS = 2_000;
+
+    /** Entry that takes no part but answers the queries of owners. */
+    private static final DaemonId OTHER_ENTRY = new DaemonId("other");
+
+    private static final Duration LINK_DELAY = Duration.ofMillis(1);
     private static final Duration OBJECTIVE = Duration.ofSeconds(1);
     private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
     private static final Duration STORE_FAULT_TIME = Duration.ofSeconds(2);
@@ -24,9 +42,16 @@
     private final ManualClock mClock;
     private final EventTrace mTrace;
     private OwnershipTerm mCurrent;
+    private SeverableStore mCurrentStore;
     private long mLastTerm;
     private boolean mChanging;
 
+    /** Highest term that the other entry has begun or heard of. */
+    private long mTermOfOtherEntry;
+
+    /** True while the next owner is an entry that the present one does not know. */
+    private boolean mUnknownClaims;
+
     final FakeStore mStore;
 
     ExploredOwners(ManualTimers timers, ManualClock clock, EventTrace trace) {
@@ -42,31 +67,78 @@
     }
 
     void startNextTerm() {
+        startNextTerm(true);
+    }
+
+    /**
+     * Starts the owner of the next term.
+     *
+     * @param known false if the former owner does not know of it and goes on with the statements of
+     *     the other entry
+     */
+    private void startNextTerm(boolean known) {
         long term = ++mLastTerm;
+        if (known) {
+            mTermOfOtherEntry = term;
+        }
         mStore.apply(new StoreChange().put(StoreKeys.TERM, Long.toString(term).getBytes(), 0));
         OwnerSettings owner =
                 new OwnerSettings(
                         LEASE,
+                        Duration.ofSeconds(1),
                         Duration.ofSeconds(6),
-                        Duration.ofMillis(1_500),
+                        Duration.ofMillis(400),
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(150),
                         1);
+        mCurrentStore = new SeverableStore(mStore, mTimers);
         OwnershipTerm[] created = new OwnershipTerm[1];
         created[0] =
                 new OwnershipTerm(
                         new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner),
                         mClock,
                         mTimers,
-                        mStore,
+                        mCurrentStore,
                         mTrace.log("owner-" + term),
-                        term,
+                        new Takeover(term, Timestamp.now(mClock), known),
                         mStore.item(StoreKeys.TERM).revision(),
+                        () -> Set.of(OTHER_ENTRY),
                         () -> created[0].stop());
         mCurrent = created[0];
         mChanging = false;
         mCurrent.load(loaded -> confirmPeriodically(loaded, term));
+        linkOtherEntry(mCurrent);
+    }
+
+    /** Links the other entry, which answers queries unless it has heard of a later term. */
+    private void linkOtherEntry(OwnershipTerm owner) {
+        LinkListener[] toOwner = new LinkListener[1];
+        Link toEntry =
+                new Link() {
+                    @Override
+                    public void send(NodeMessage message) {
+                        mTimers.after(LINK_DELAY, () -> answer(message, toOwner[0]));
+                    }
+
+                    @Override
+                    public void close(String reason) {}
+
+                    @Override
+                    public String remoteAddress() {
+                        return OTHER_ENTRY.value();
+                    }
+                };
+        toOwner[0] = owner.acceptEntry(toEntry, new NodeMessage.EntryHello(OTHER_ENTRY));
+    }
+
+    private void answer(NodeMessage message, LinkListener toOwner) {
+        boolean claiming = mChanging && mTermOfOtherEntry == mLastTerm && !mUnknownClaims;
+        if (message instanceof NodeMessage.TermQuery query
+                && query.term() >= mTermOfOtherEntry
+                && !claiming) {
+            toOwner.received(new NodeMessage.TermAnswer(query.number()));
+        }
     }
 
     private void confirmPeriodically(JobOwner owner, long term) {
@@ -76,7 +148,7 @@
                 CONFIRM_INTERVAL,
                 () -> {
                     if (term == mLastTerm && !mChanging && !mStore.mUnavailable) {
-                        owner.confirmOwnership();
+                        owner.confirmByStore(Timestamp.now(mClock));
                         owner.markViewCurrent();
                     }
                 });
@@ -103,6 +175,30 @@
         }
     }
 
+    /**
+     * Cuts the owner off from the store and starts the next one soon. The former goes on until it
+     * hears of it.
+     */
+    void isolate(FaultEvent fault) {
+        if (mChanging) {
+            return;
+        }
+        UniformRandomProvider random = FaultPlan.random(fault.seed());
+        OwnershipTerm former = mCurrent;
+        mCurrentStore.cut();
+        mChanging = true;
+        mUnknownClaims = random.nextBoolean();
+        boolean known = !mUnknownClaims;
+        Duration takeover = Duration.ofMillis(1 + random.nextInt(MAX_TAKEOVER_MILLIS));
+        mTimers.after(
+                takeover,
+                () -> {
+                    startNextTerm(known);
+                    mUnknownClaims = false;
+                });
+        mTimers.after(takeover.plusMillis(fault.lengthMillis()), former::stop);
+    }
+
     private void changeOwner(FaultKind kind, Duration noticeDelay) {
         if (mChanging) {
             return;
@@ -119,11 +215,11 @@
                             });
             case OWNER_KILL -> {
                 former.stop();
-                mTimers.after(LEASE, this::startNextTerm);
+                mTimers.after(OWNER_KEY_LEASE, this::startNextTerm);
             }
             default -> {
-                mTimers.after(LEASE, this::startNextTerm);
-                mTimers.after(LEASE.plus(noticeDelay), former::stop);
+                mTimers.after(OWNER_KEY_LEASE, this::startNextTerm);
+                mTimers.after(OWNER_KEY_LEASE.plus(noticeDelay), former::stop);
             }
         }
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredSystem.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredSystem.java
@@ -153,6 +153,7 @@
                     case VM_RESTART -> Math.max(2_000, fault.lengthMillis()) + 1_500;
                     case WORKER_RESTART, WORKER_REPLACEMENT -> fault.lengthMillis() + 1_500;
                     case WORKER_DEPARTURE -> 7_000 + fault.lengthMillis();
+                    case OWNER_ISOLATION -> 16_000 + fault.lengthMillis();
                     case STORE_FAULTS -> 5_000;
                     default -> fault.lengthMillis();
                 };
@@ -165,6 +166,12 @@
         switch (fault.kind()) {
             case OWNER_HANDOVER, OWNER_KILL, OWNER_REPLACEMENT, STORE_OUTAGE, STORE_FAULTS ->
                     mOwners.apply(fault);
+            case OWNER_ISOLATION -> {
+                mOwners.isolate(fault);
+                IntStream.range(0, FaultPlan.VMS)
+                        .filter(vm -> vm != fault.vm())
+                        .forEach(vm -> mVms.get(vm).leaveOwner());
+            }
             default -> mVms.get(fault.vm()).apply(fault);
         }
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredVm.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredVm.java
@@ -25,7 +25,7 @@
     private static final Duration CONNECT_INTERVAL = Duration.ofMillis(100);
     private static final AgentSettings SETTINGS =
             new AgentSettings(
-                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(5),
                     Duration.ofSeconds(2),
                     Duration.ofMillis(1_500),
                     Duration.ofMillis(500));
@@ -46,6 +46,10 @@
     private Runnable mCancelReports = () -> {};
     private long mReportCount;
     private long mLinkDownUntilMillis;
+
+    /** Highest term of an owner that this VM can't reach. */
+    private long mUnreachableTerm;
+
     private long mLinkSlowUntilMillis;
     private UniformRandomProvider mLinkRandom;
 
@@ -130,6 +134,14 @@
         }
     }
 
+    /** Ends the link to the owner, which the VM can't reach any more; it waits for the next one. */
+    void leaveOwner() {
+        mUnreachableTerm = mOwner.get().term();
+        if (mConnection != null) {
+            mConnection.cut("cut off from the owner");
+        }
+    }
+
     /** Applies a fault of this VM. */
     void apply(FaultEvent fault) {
         UniformRandomProvider random = FaultPlan.random(fault.seed());
@@ -219,7 +231,12 @@
         OwnershipTerm owner = mOwner.get();
         boolean possible = mSession != null && owner != null && owner.isReady();
         boolean linkUp = mClock.monotonicMillis() >= mLinkDownUntilMillis;
-        if (possible && linkUp && mConnection == null && owner.term() >= mSession.term()) {
+        boolean reachable = owner != null && owner.term() > mUnreachableTerm;
+        if (possible
+                && reachable
+                && linkUp
+                && mConnection == null
+                && owner.term() >= mSession.term()) {
             mConnection = new Connection(owner);
             mConnection.open();
         }
--- a/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
@@ -38,6 +38,9 @@
     /** True while the store refuses all calls. */
     boolean mUnavailable;
 
+    /** Time that the answer to a write takes after the write was applied. */
+    Duration mWriteAnswerDelay = Duration.ZERO;
+
     int mWriteCount;
 
     /** Fault of a write. */
@@ -102,7 +105,15 @@
             mTimers.after(Duration.ofSeconds(3), () -> apply(change));
             mTimers.after(ANSWER_DELAY, () -> done.accept(new WriteOutcome.Unknown("late")));
         } else {
-            mTimers.after(ANSWER_DELAY, () -> done.accept(apply(change)));
+            mTimers.after(ANSWER_DELAY, () -> answerLater(apply(change), done));
+        }
+    }
+
+    private void answerLater(WriteOutcome outcome, Consumer<WriteOutcome> done) {
+        if (mWriteAnswerDelay.isZero()) {
+            done.accept(outcome);
+        } else {
+            mTimers.after(mWriteAnswerDelay, () -> done.accept(outcome));
         }
     }
 
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.knapweedbank.node.entry.FaultKind.AGENT_RESTART;
 import static org.knapweedbank.node.entry.FaultKind.BAD_CALLS;
+import static org.knapweedbank.node.entry.FaultKind.OWNER_ISOLATION;
 import static org.knapweedbank.node.entry.FaultKind.WORKER_RESTART;
 
 import java.util.LinkedHashSet;
@@ -91,6 +92,19 @@
                                 new FaultEvent(5_658, AGENT_RESTART, 0, 9_000, 1))));
     }
 
+    /**
+     * Guards against tasks that start again while an agent that was cut off together with the
+     * former owner still renews their leases, whether the former owner knows the next one (seeds 1
+     * to 3) or goes on without it (4, 8 and 9).
+     */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 8, 9})
+    void tasksOfAgentThatIsCutOffWithTheOwnerRunOnce(long seed) {
+        int vm = (int) (seed % FaultPlan.VMS);
+        FaultEvent isolation = new FaultEvent(3_000, OWNER_ISOLATION, vm, 9_000, seed);
+        check(new FaultPlan(-3, 800, 500, List.of(isolation)));
+    }
+
     private static void check(long seed) {
         check(FaultPlan.draw(seed, FaultKind.RECORDED));
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
@@ -36,7 +36,12 @@
     /** A status report of an unknown worker arrives at an agent. */
     FOREIGN_REPORT,
     /** A worker announces that it leaves; without a confirmation it runs on for seconds. */
-    WORKER_DEPARTURE;
+    WORKER_DEPARTURE,
+    /**
+     * The owner and the agent of one VM are cut off together from the store and all others, and the
+     * next owner starts soon.
+     */
+    OWNER_ISOLATION;
 
     /** Kinds that the recorded seeds draw from; further kinds would change their plans. */
     static final List<FaultKind> RECORDED = List.copyOf(EnumSet.range(BAD_CALLS, FOREIGN_REPORT));
--- a/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
@@ -5,6 +5,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
@@ -22,6 +23,7 @@
 import org.knapweedbank.jobs.Timetable;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
@@ -29,11 +31,12 @@
 import org.knapweedbank.node.ManualTimers;
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests that each task runs once while orders of a former owner are under way. */
 class HandOverTest {
     private static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(6);
+    private static final Duration LEASE = Duration.ofSeconds(5);
     private static final Duration OBJECTIVE = Duration.ofSeconds(1);
     private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
     private static final int TASKS = 6;
@@ -75,8 +78,9 @@
         OwnerSettings owner =
                 new OwnerSettings(
                         LEASE,
+                        Duration.ofSeconds(1),
                         Duration.ofSeconds(6),
-                        Duration.ofMillis(1_500),
+                        Duration.ofMillis(400),
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(150),
@@ -88,8 +92,9 @@
                         mTimers,
                         mStore,
                         DecisionLog.NONE,
-                        mTerm,
+                        new Takeover(mTerm, Timestamp.now(mClock), true),
                         mStore.item(StoreKeys.TERM).revision(),
+                        () -> Set.of(new DaemonId("other")),
                         () -> {});
         long term = mTerm;
         mOwnership.load(started -> confirmPeriodically(started, term));
@@ -103,7 +108,7 @@
                 CONFIRM_INTERVAL,
                 () -> {
                     if (term == mTerm) {
-                        owner.confirmOwnership();
+                        owner.confirmByStore(Timestamp.now(mClock));
                     }
                     owner.markViewCurrent();
                 });
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -5,6 +5,8 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
@@ -17,19 +19,27 @@
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.Timetable;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.node.CallAnswer;
 import org.knapweedbank.node.CallRequest;
 import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.link.Link;
+import org.knapweedbank.node.link.LinkListener;
+import org.knapweedbank.node.link.NodeMessage;
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests calls to the owner while its store fails. */
 class OwnershipTermTest {
     private static final QueueKey QUEUE = new QueueKey("host", "/q/");
     private static final Duration TIMEOUT = Duration.ofSeconds(6);
+    private static final Duration AUTHORITY = Duration.ofSeconds(1);
+    private static final Duration SILENCE = Duration.ofSeconds(4);
+    private static final DaemonId OTHER_ENTRY = new DaemonId("e-2");
     private static final JobId JOB = new JobId("5c0e7a21d94b36f8");
 
     private final ManualClock mClock = new ManualClock();
@@ -37,6 +47,7 @@
     private final FakeStore mStore = new FakeStore(mTimers);
     private final List<CallAnswer> mAnswers = new ArrayList<>();
     private OwnershipTerm mOwnership;
+    private Set<DaemonId> mOtherEntries = Set.of(OTHER_ENTRY);
 
     @BeforeEach
     void startFirstTerm() {
@@ -46,7 +57,8 @@
 
     private OwnershipTerm startTerm(long term) {
         OwnerSettings owner =
-                new OwnerSettings(TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, 1);
+                new OwnerSettings(
+                        TIMEOUT, AUTHORITY, SILENCE, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, 1);
         EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, TIMEOUT, owner);
         OwnershipTerm ownership =
                 new OwnershipTerm(
@@ -55,8 +67,9 @@
                         mTimers,
                         mStore,
                         DecisionLog.NONE,
-                        term,
+                        new Takeover(term, Timestamp.now(mClock), true),
                         mStore.item(StoreKeys.TERM).revision(),
+                        () -> mOtherEntries,
                         () -> {});
         ownership.load(
                 loaded ->
@@ -175,8 +188,89 @@
     void unconfirmedOwnerDoesNotReportJobAsUnknown() {
         mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
         assertThat(mAnswers.getLast()).isInstanceOf(CallAnswer.NoSuchJob.class);
-        mClock.advance(TIMEOUT.plusSeconds(1));
+        mClock.advance(AUTHORITY.plusMillis(1));
         mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
         assertThat(mAnswers.getLast()).isInstanceOf(CallAnswer.Refused.class);
     }
+
+    /** Links the other entry and lets it answer queries while a condition holds. */
+    private LinkListener linkOtherEntry(BooleanSupplier answers) {
+        LinkListener[] toOwner = new LinkListener[1];
+        Link toEntry =
+                new Link() {
+                    @Override
+                    public void send(NodeMessage message) {
+                        if (message instanceof NodeMessage.TermQuery query
+                                && answers.getAsBoolean()) {
+                            NodeMessage answer = new NodeMessage.TermAnswer(query.number());
+                            mTimers.after(Duration.ofMillis(5), () -> toOwner[0].received(answer));
+                        }
+                    }
+
+                    @Override
+                    public void close(String reason) {}
+
+                    @Override
+                    public String remoteAddress() {
+                        return "e-2:1";
+                    }
+                };
+        toOwner[0] = mOwnership.acceptEntry(toEntry, new NodeMessage.EntryHello(OTHER_ENTRY));
+        return toOwner[0];
+    }
+
+    private boolean isConfirmed() {
+        mAnswers.clear();
+        mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        return mAnswers.getLast() instanceof CallAnswer.NoSuchJob;
+    }
+
+    /**
+     * Guards against an outage of the store that ends all leases although no later owner can have
+     * begun, and against an owner that goes on for longer than its successors count with.
+     */
+    @Test
+    void statementsOfAllOtherEntriesReplaceTheStoreForATime() {
+        linkOtherEntry(() -> true);
+        mTimers.advance(SILENCE);
+        assertThat(isConfirmed()).isTrue();
+        mTimers.advance(AUTHORITY.plusMillis(300));
+        assertThat(isConfirmed()).isFalse();
+    }
+
+    /** Guards against an owner that goes on after another entry has begun a later term. */
+    @Test
+    void ownerStopsWhenAnEntryNoLongerStatesThatItHasBegunNoTerm() {
+        boolean[] answers = {true};
+        linkOtherEntry(() -> answers[0]);
+        mTimers.advance(Duration.ofSeconds(2));
+        assertThat(isConfirmed()).isTrue();
+        answers[0] = false;
+        mTimers.advance(AUTHORITY.plusMillis(10));
+        assertThat(isConfirmed()).isFalse();
+    }
+
+    /**
+     * Guards against an owner that goes on without an entry which was linked, and has registered
+     * since the store was heard of last.
+     */
+    @Test
+    void entryThatWasLinkedKeepsTheOwnerFromGoingOnUntilTheStoreAnswers() {
+        mOtherEntries = Set.of();
+        linkOtherEntry(() -> true).closed("lost");
+        mTimers.advance(AUTHORITY.plusMillis(10));
+        assertThat(isConfirmed()).isFalse();
+        mOwnership.confirmByStore(Timestamp.now(mClock));
+        mTimers.advance(Duration.ofSeconds(2));
+        assertThat(isConfirmed()).isTrue();
+    }
+
+    /** Guards against an owner that goes on while an entry that it can't reach may take over. */
+    @Test
+    void entryWithoutALinkKeepsTheOwnerFromGoingOn() {
+        mOtherEntries = Set.of(OTHER_ENTRY, new DaemonId("e-3"));
+        linkOtherEntry(() -> true);
+        mTimers.advance(AUTHORITY.plusMillis(10));
+        assertThat(isConfirmed()).isFalse();
+    }
 }
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -27,12 +27,14 @@
 import org.knapweedbank.jobs.owner.OwnerOutput;
 import org.knapweedbank.jobs.owner.OwnerSettings;
 import org.knapweedbank.jobs.owner.SubmitResult;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.node.ManualTimers;
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests writes to a store that refuses calls, loses answers and applies writes late. */
 class RecordWriterTest {
@@ -40,6 +42,7 @@
     private static final OwnerSettings SETTINGS =
             new OwnerSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(1),
                     Duration.ofSeconds(6),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(3),
@@ -64,7 +67,7 @@
                         mClock,
                         new NoOpOwnerOutput(),
                         DecisionLog.NONE,
-                        1,
+                        new Takeover(1, Timestamp.now(mClock), true),
                         JobOwner.decodeVmList(new byte[0], 0));
         mOwner.configure(
                 List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, Duration.ZERO, Duration.ZERO)));
--- a/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -22,7 +22,7 @@
     private static final Duration STATUS_INTERVAL = Duration.ofMillis(1_500);
     private static final AgentSettings SETTINGS =
             new AgentSettings(
-                    Duration.ofSeconds(6),
+                    Duration.ofSeconds(5),
                     Duration.ofSeconds(2),
                     Duration.ofMillis(1_500),
                     Duration.ofMillis(500));
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
@@ -21,6 +22,7 @@
 import org.knapweedbank.jobs.WorkerInfo;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
@@ -28,12 +30,14 @@
 import org.knapweedbank.node.ManualTimers;
 import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests that each task runs once while workers, agents, owners and the store fail. */
 class WorkerLossTest {
     private static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(6);
+    private static final Duration LEASE = Duration.ofSeconds(5);
     private static final Duration OBJECTIVE = Duration.ofSeconds(1);
+    private static final Duration OWNER_KEY_LEASE = Duration.ofMillis(1_500);
     private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
     private static final int TASKS = 6;
 
@@ -64,8 +68,9 @@
         OwnerSettings owner =
                 new OwnerSettings(
                         LEASE,
+                        Duration.ofSeconds(1),
                         Duration.ofSeconds(6),
-                        Duration.ofMillis(1_500),
+                        Duration.ofMillis(400),
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(150),
@@ -78,8 +83,9 @@
                         mTimers,
                         mStore,
                         DecisionLog.NONE,
-                        term,
+                        new Takeover(term, Timestamp.now(mClock), true),
                         mStore.item(StoreKeys.TERM).revision(),
+                        () -> Set.of(new DaemonId("other")),
                         () -> {});
         mOwnership.load(this::confirmPeriodically);
         mTimers.advance(Duration.ofMillis(100));
@@ -91,7 +97,7 @@
         mTimers.every(
                 CONFIRM_INTERVAL,
                 () -> {
-                    owner.confirmOwnership();
+                    owner.confirmByStore(Timestamp.now(mClock));
                     owner.markViewCurrent();
                 });
     }
@@ -342,6 +348,26 @@
         assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
     }
 
+    /**
+     * Guards against tasks of a lost data centre that wait too long because the owner was lost with
+     * it: its successor waits until the former owner can't have renewed their leases any more.
+     */
+    @Test
+    void tasksOfDataCentreLostWithTheOwnerStartAgainWithinNineSeconds() {
+        VmFixture busy = startJob();
+        mOwnership.stop();
+        busy.mWorker.crash();
+        busy.killAgent();
+        mVms.stream().filter(vm -> vm != busy).forEach(VmFixture::disconnect);
+        mTimers.advance(OWNER_KEY_LEASE.plusMillis(500));
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'2'}, 0));
+        startOwner(2);
+        mVms.stream().filter(vm -> vm != busy).forEach(VmFixture::reconnect);
+        mTimers.advance(Duration.ofMillis(6_900));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a"));
+        assertThat(mHistory.mRepeated).isEmpty();
+    }
+
     /** Guards against a new owner that waits for a worker which left while there was no owner. */
     @Test
     void tasksOfWorkerThatLeftStartAgainAtOnceAfterTheOwnerChanged() {
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -74,6 +74,8 @@
                 new NodeMessage.Redirect("host:1"),
                 new NodeMessage.Superseded(3, "host:1"),
                 new NodeMessage.TakeOver(3),
+                new NodeMessage.TermQuery(3, 1),
+                new NodeMessage.TermAnswer(1),
                 new NodeMessage.Ping(1, Optional.of(WORKER)),
                 new NodeMessage.Ping(2, Optional.empty()),
                 new NodeMessage.Pong(1),
--- a/node/src/test/java/org/knapweedbank/node/store/PrefixWatchTest.java
+++ b/node/src/test/java/org/knapweedbank/node/store/PrefixWatchTest.java
@@ -14,14 +14,17 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.node.ManualTimers;
 import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
 
 /** Tests the watch with a store that fails calls and drops old changes. */
 class PrefixWatchTest implements PrefixWatch.Listener {
     private static final Duration RETRY = Duration.ofMillis(100);
 
-    private final ManualTimers mTimers = new ManualTimers(new ManualClock(Instant.EPOCH));
+    private final ManualClock mClock = new ManualClock(Instant.EPOCH);
+    private final ManualTimers mTimers = new ManualTimers(mClock);
     private final ScriptedStore mStore = new ScriptedStore();
     private final List<Set<String>> mSeenKeys = new ArrayList<>();
+    private final List<Long> mSeenAges = new ArrayList<>();
     private final List<String> mFailures = new ArrayList<>();
     private final List<String> mLoggedEvents = new ArrayList<>();
 
@@ -29,11 +32,12 @@
     private String mRejectedKey = "";
 
     @Override
-    public void itemsRefreshed(Map<String, StoreItem> items) {
+    public void itemsRefreshed(Map<String, StoreItem> items, Timestamp requestedAt) {
         if (items.containsKey(mRejectedKey)) {
             throw new IllegalArgumentException("unexpected item " + mRejectedKey);
         }
         mSeenKeys.add(items.keySet());
+        mSeenAges.add(requestedAt.ageMillis(mClock));
     }
 
     @Override
@@ -44,10 +48,11 @@
     private void start() {
         new PrefixWatch(
                         mStore,
+                        mClock,
                         mTimers,
                         (event, subject, fields) -> mLoggedEvents.add(event),
                         "p/",
-                        Duration.ofSeconds(1),
+                        () -> Duration.ofSeconds(1),
                         RETRY,
                         this)
                 .start();
@@ -99,6 +104,19 @@
         assertThat(mSeenKeys.getLast()).containsExactly("p/c");
     }
 
+    /**
+     * Guards against an owner that takes an answer which was held up for the present state, and
+     * acts after its successor has begun.
+     */
+    @Test
+    void itemsAreAsOldAsTheirRequest() {
+        mStore.mReads.add(items(7, "p/a"));
+        start();
+        mTimers.advance(Duration.ofSeconds(4));
+        mStore.mLatestWatch.accept(new WatchOutcome.Events(List.of(), 7));
+        assertThat(mSeenAges).containsExactly(0L, 4_000L).inOrder();
+    }
+
     /** Guards against a watch that ends for good because its listener failed on one item. */
     @Test
     void continuesAfterListenerFailsOnAnItem() {
@@ -120,6 +138,7 @@
         final Deque<ReadOutcome> mReads = new ArrayDeque<>();
         final Deque<WatchOutcome> mWatches = new ArrayDeque<>();
         final List<Long> mWatchRevisions = new ArrayList<>();
+        Consumer<WatchOutcome> mLatestWatch;
 
         @Override
         public void read(String prefix, boolean allowStale, Consumer<ReadOutcome> done) {
@@ -132,6 +151,7 @@
         public void watch(
                 String prefix, long afterRevision, Duration maxWait, Consumer<WatchOutcome> done) {
             mWatchRevisions.add(afterRevision);
+            mLatestWatch = done;
             if (!mWatches.isEmpty()) {
                 done.accept(mWatches.poll());
             }
