Count with the longest lease that a worker accepts after it has restarted unnoticed

Cause: a call names a worker by its identifier, which the next incarnation has too. A worker that restarts while the agent's connections are silent takes a call whose deadline was worked out on the clock of its former incarnation. On its own clock that lies far ahead, so it holds the longest lease that it accepts, 10 s there, while agent and owner count with 6 s.

Evidence: the record's lease lasted 10.2 s (10 s on a clock that is 2% slow) and the second run came 8.1 s after the first. Three tests of WorkerLossTest (tasksHeldByRestartedWorker...) and FaultExplorerTest.tasksOnUnnoticedlyRestartedWorkerRunOnce fail without this change.

Change: an agent that learns of such a restart, and has sent a deadline since, states nothing about a silent worker until that lease must have ended. If the owner's last grant is about to run out meanwhile and the worker is not idle, the agent stops the runs, and starts nothing, extends no lease and acknowledges no end until then, so that the lease lapses and unread ends are void. The owner keeps the runs of a restarted worker for as long. This works because the owner starts the tasks elsewhere no earlier than the agent has ended or voided the runs here.

The explorer has silent restarts as a kind of fault; the workers' first clocks start at a minute.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
@@ -7,6 +7,7 @@
  *
  * @param taskLease longest lease that an agent may grant to the runs on its VM, counted from the
  *     request that the owner answered
+ * @param maxWorkerLease longest lease that a worker accepts
  * @param renewalAuthority how long the owner continues to answer agents without a new confirmation
  *     that no later term has begun
  * @param maxStoreSilence how long the statements of all other entries may replace the confirmation
@@ -22,6 +23,7 @@
  */
 public record OwnerSettings(
         Duration taskLease,
+        Duration maxWorkerLease,
         Duration renewalAuthority,
         Duration maxStoreSilence,
         Duration clockMargin,
@@ -39,8 +41,21 @@
      * @return the time
      */
     public Duration leaseTimeout() {
-        return Duration.ofMillis((long) (taskLease.toMillis() * CLOCK_RATE_FACTOR))
-                .plus(clockMargin);
+        return timeoutOf(taskLease);
+    }
+
+    /**
+     * Returns the time after the restart of a worker at which the leases that it may have given
+     * itself have expired. It may have taken an order with a deadline of its former incarnation.
+     *
+     * @return the time
+     */
+    public Duration restartedLeaseTimeout() {
+        return timeoutOf(maxWorkerLease);
+    }
+
+    private Duration timeoutOf(Duration lease) {
+        return Duration.ofMillis((long) (lease.toMillis() * CLOCK_RATE_FACTOR)).plus(clockMargin);
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -62,6 +62,12 @@
      */
     long mAuthorityGrantedAt;
 
+    /**
+     * Monotonic time in milliseconds before which the worker may hold a longer lease than was
+     * allowed, after it has started again under its identifier.
+     */
+    long mExcessLeaseUntil = Long.MIN_VALUE;
+
     /** Monotonic time in milliseconds before which no task is started, after a refused start. */
     long mBackoffUntil = Long.MIN_VALUE;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -265,6 +265,7 @@
         mState.mVms.values().stream()
                 .filter(vm -> vm.mWorker != null && mState.now() - vm.mAuthorityGrantedAt > limit)
                 .filter(vm -> mState.now() - mState.mTakenOverAt > limit)
+                .filter(vm -> mState.now() > vm.mExcessLeaseUntil)
                 .toList()
                 .forEach(vm -> removeWorker(vm, "unreachable for longer than its leases"));
         mUnresolvedVms.entrySet().stream()
@@ -311,6 +312,11 @@
         }
         if (vm.mWorker != null) {
             mRunTracker.releaseAll(vm, "worker restarted");
+            boolean sameId = vm.mWorker.id().id().equals(worker.id().id());
+            vm.mExcessLeaseUntil =
+                    sameId
+                            ? mState.now() + mState.mSettings.restartedLeaseTimeout().toMillis()
+                            : Long.MIN_VALUE;
         }
         vm.replaceWorker(worker);
         vm.mAuthorityGrantedAt = mState.now();
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -43,6 +43,7 @@
     static final OwnerSettings SETTINGS =
             new OwnerSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(10),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(6),
                     Duration.ofMillis(400),
--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -37,6 +37,9 @@
      */
     private static final Duration MAX_ACKNOWLEDGEMENT_WAIT = Duration.ofMillis(100);
 
+    /** Age of lists above which they don't show any more that the worker is idle. */
+    private static final Duration MAX_IDLE_LIST_AGE = Duration.ofSeconds(2);
+
     private final AgentSettings mSettings;
     private final Clock mClock;
     private final Timers mTimers;
@@ -85,6 +88,9 @@
     /** Newest grant that had been received when the latest conclusive lists were requested. */
     private long mListsGrant;
 
+    /** Monotonic time in milliseconds at which these lists were requested. */
+    private long mListsRequestedAtMillis = Long.MIN_VALUE / 2;
+
     /** Identifies the current series of lease renewals; replies to earlier series continue none. */
     private int mPollId;
 
@@ -113,7 +119,7 @@
         mWorkerClient = workerClient;
         mLog = log;
         mRunLog = new RunLog(log);
-        mAuthority = new LeaseAuthority(clock, settings.taskLease());
+        mAuthority = new LeaseAuthority(clock, settings.taskLease(), settings.maxWorkerLease());
         mThrottle = new FillerThrottle(clock, workerClient, log, mRuns);
         mUnansweredStarts = new UnansweredStarts(clock, workerClient, log);
         mProbe = new WorkerProbe(clock, timers, workerClient, log, new ProbeListener());
@@ -287,7 +293,10 @@
      */
     public void received(NodeMessage message) {
         switch (message) {
-            case NodeMessage.Pong pong -> mAuthority.grant(pong.number());
+            case NodeMessage.Pong pong -> {
+                mAuthority.updateOverdue(isIdle());
+                mAuthority.grant(pong.number());
+            }
             case NodeMessage.Start start -> handleStart(start);
             case NodeMessage.Stop stop -> stopRun(stop.task(), stop.run());
             case NodeMessage.Describe describe -> handleDescribe(describe);
@@ -314,9 +323,13 @@
         mReported = Reported.NOTHING;
         mNoWorkerReason = null;
         mListsGrant = 0;
+        mListsRequestedAtMillis = Long.MIN_VALUE / 2;
         mWorkerAnswers = false;
         mPollId++;
         mAuthority.reset();
+        if (sameId) {
+            mAuthority.recordRestart(worker.id().incarnation());
+        }
     }
 
     /**
@@ -347,18 +360,25 @@
         }
         long sentAtMillis = mClock.monotonicMillis();
         long leaseEndMillis = mAuthority.leaseEndMillis();
+        boolean overdue = mAuthority.isOverdue();
         OptionalLong newLeaseEndMillis =
                 mWorkerAnswers
                                 && mDeparture == null
+                                && !overdue
                                 && leaseEndMillis > mAuthority.workerClockMillis()
                         ? OptionalLong.of(leaseEndMillis)
                         : OptionalLong.empty();
+        if (newLeaseEndMillis.isPresent()) {
+            mAuthority.recordDeadlineSent();
+        }
         ListRequest lists = new ListRequest(mTerm, sentAtMillis, mAuthority.newestGrant());
         WorkerId worker = mWorker.id();
         // The worker may have started again since it last answered. A new incarnation would discard
         // ends that nobody has read, as it numbers them from 1 again, and would take a deadline on
-        // the clock of its predecessor for one far ahead.
-        long acknowledgedEnd = mWorkerAnswers ? mRuns.highestAcknowledged() : 0;
+        // the clock of its predecessor for one far ahead. An overdue worker keeps its ends until
+        // its
+        // lease has ended, as their tasks may run elsewhere.
+        long acknowledgedEnd = mWorkerAnswers && !overdue ? mRuns.highestAcknowledged() : 0;
         LeaseRenewalRequest request =
                 new LeaseRenewalRequest(worker, mTerm, acknowledgedEnd, newLeaseEndMillis, maxWait);
         mWorkerClient.renewLease(
@@ -461,6 +481,7 @@
         List<EndedRun> newEnds = mRuns.addEnds(renewed.ended());
         if (renewed.conclusive()) {
             mListsGrant = request.newestGrant();
+            mListsRequestedAtMillis = request.sentAtMillis();
             mRuns.removeAbsent(renewed.running(), request.sentAtMillis())
                     .forEach(run -> mRunLog.removed(run, "not in the worker's lists"));
             expireUnansweredStarts(renewed.workerClockMillis(), request);
@@ -549,6 +570,7 @@
                         startDeadlineMillis(mAuthority.workerClockMillis()));
         Run run = mRuns.addOrdered(order, mWorker.id(), deadlineMillis, mClock.monotonicMillis());
         run.mClockReadingMillis = mAuthority.latestReadingMillis();
+        mAuthority.recordDeadlineSent();
         mWorkerClient.start(
                 mWorker.id(), order, deadlineMillis, mTerm, reply -> handleStartReply(run, reply));
     }
@@ -575,6 +597,9 @@
         if (!mAuthority.isRecent(message.permit(), mSettings.maxPermitAge())) {
             return "permit " + message.permit() + " is too old";
         }
+        if (mAuthority.isOverdue()) {
+            return "the worker may hold a lease that was not allowed";
+        }
         if (mAuthority.leaseEndMillis() <= mAuthority.workerClockMillis()) {
             return "no authority over leases";
         }
@@ -625,6 +650,7 @@
             handleRestart(reply.incarnation().getAsLong());
         } else if (clockMillis < run.mClockReadingMillis) {
             mWorkerAnswers = false;
+            mAuthority.recordExcessLease();
             restartPolling();
         }
     }
@@ -684,6 +710,8 @@
         if (mNoWorkerReason == null && mAuthority.allLeasesExpired()) {
             handleLeaseExpiry();
         }
+        mAuthority.updateOverdue(isIdle());
+        stopOverdueRuns();
         if (mReported == Reported.ALL_RUNS && mTickCount % 2 == 0) {
             sendToOwner(
                     new NodeMessage.Progress(
@@ -700,6 +728,23 @@
                 .forEach(run -> stopRun(run.mTask, run.mNumber));
     }
 
+    /** Returns whether recent lists show that nothing runs and no end is left to be stored. */
+    private boolean isIdle() {
+        return mRuns.runs().isEmpty()
+                && mRuns.unacknowledged().isEmpty()
+                && mClock.monotonicMillis() - mListsRequestedAtMillis
+                        <= MAX_IDLE_LIST_AGE.toMillis();
+    }
+
+    /** Stops the runs that the worker may hold for longer than the owner counts with. */
+    private void stopOverdueRuns() {
+        List<Run> running = mRuns.runs().stream().filter(run -> !run.mStopping).toList();
+        if (mWorker != null && mAuthority.isOverdue() && !running.isEmpty()) {
+            mLog.record("worker.overdue", mWorker.id(), "runs", running.size());
+            running.forEach(run -> stopRun(run.mTask, run.mNumber));
+        }
+    }
+
     /** Gives up the runs on the VM, as every lease on it has expired. */
     private void handleLeaseExpiry() {
         mLog.record(
@@ -735,7 +780,7 @@
      * for a worker which this process has never reached would keep its runs forever.
      */
     private Optional<WorkerId> leasedWorker() {
-        boolean leased = mNoWorkerReason == null && mDeparture == null;
+        boolean leased = mNoWorkerReason == null && mDeparture == null && !mAuthority.isOverdue();
         return mWorker != null && leased && mAuthority.hasReading()
                 ? Optional.of(mWorker.id())
                 : Optional.empty();
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -30,7 +30,11 @@
     private static final Duration LEASE = Duration.ofSeconds(6);
     private static final AgentSettings SETTINGS =
             new AgentSettings(
-                    LEASE, Duration.ofSeconds(2), Duration.ofMillis(1_500), Duration.ofMillis(500));
+                    LEASE,
+                    Duration.ofSeconds(10),
+                    Duration.ofSeconds(2),
+                    Duration.ofMillis(1_500),
+                    Duration.ofMillis(500));
     private static final TaskName TASK = TaskName.parse("a.0.0.1");
 
     private final ManualClock mClock = new ManualClock();
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -51,6 +51,7 @@
     private static final OwnerSettings OWNER_SETTINGS =
             new OwnerSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(10),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(6),
                     Duration.ofMillis(400),
@@ -61,6 +62,7 @@
     private static final AgentSettings AGENT_SETTINGS =
             new AgentSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(10),
                     Duration.ofSeconds(2),
                     Duration.ofMillis(1_500),
                     Duration.ofSeconds(1));
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -45,7 +45,7 @@
         }
 
         Candidate(String name, double cpuShare, long processStartMillis) {
-            OwnerSettings owner = new OwnerSettings(TTL, TTL, SILENCE, TTL, TTL, TTL, TTL, 1);
+            OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, SILENCE, TTL, TTL, TTL, TTL, 1);
             EntrySettings settings =
                     new EntrySettings(
                             new DaemonId(name), processStartMillis, name, 1, cpuShare, TTL, owner);
--- a/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
@@ -46,7 +46,7 @@
 
     @BeforeEach
     void start() {
-        OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, TTL, TTL, TTL, TTL, 1);
+        OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, TTL, TTL, TTL, TTL, TTL, 1);
         EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, TTL, owner);
         new EntryNode(settings, mClock, mTimers, mStore, this, DecisionLog.NONE)
                 .start(listener -> {});
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
@@ -85,6 +85,7 @@
         OwnerSettings owner =
                 new OwnerSettings(
                         LEASE,
+                        Duration.ofSeconds(10),
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(6),
                         Duration.ofMillis(400),
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredSystem.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredSystem.java
@@ -153,6 +153,7 @@
                     case VM_RESTART -> Math.max(2_000, fault.lengthMillis()) + 1_500;
                     case WORKER_RESTART, WORKER_REPLACEMENT -> fault.lengthMillis() + 1_500;
                     case WORKER_DEPARTURE -> 7_000 + fault.lengthMillis();
+                    case SILENT_RESTART -> 12_000;
                     case OWNER_ISOLATION -> 16_000 + fault.lengthMillis();
                     case STORE_FAULTS -> 5_000;
                     default -> fault.lengthMillis();
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredVm.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredVm.java
@@ -26,6 +26,7 @@
     private static final AgentSettings SETTINGS =
             new AgentSettings(
                     Duration.ofSeconds(5),
+                    Duration.ofSeconds(10),
                     Duration.ofSeconds(2),
                     Duration.ofMillis(1_500),
                     Duration.ofMillis(500));
@@ -167,6 +168,14 @@
                 mLinkSlowUntilMillis = mClock.monotonicMillis() + fault.lengthMillis();
                 mLinkRandom = random;
             }
+            case SILENT_RESTART -> {
+                if (mWorker.up()) {
+                    mWorker.crashSilently();
+                    mTimers.after(
+                            Duration.ofMillis(FaultPlan.pick(random, 1, 20)),
+                            () -> startWorker(mWorker.id().id(), firstReport));
+                }
+            }
             case WORKER_DEPARTURE -> {
                 String id = random.nextBoolean() ? mWorker.id().id() : nextId();
                 leaveWorker(id, length, firstReport, random.nextBoolean());
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
@@ -3,7 +3,9 @@
 import static com.google.common.truth.Truth.assertWithMessage;
 import static org.knapweedbank.node.entry.FaultKind.AGENT_RESTART;
 import static org.knapweedbank.node.entry.FaultKind.BAD_CALLS;
+import static org.knapweedbank.node.entry.FaultKind.LINK_CUT;
 import static org.knapweedbank.node.entry.FaultKind.OWNER_ISOLATION;
+import static org.knapweedbank.node.entry.FaultKind.SILENT_RESTART;
 import static org.knapweedbank.node.entry.FaultKind.WORKER_RESTART;
 
 import java.util.LinkedHashSet;
@@ -13,6 +15,7 @@
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -105,6 +108,28 @@
         check(new FaultPlan(-3, 800, 500, List.of(isolation)));
     }
 
+    /**
+     * Guards against tasks that run, or have ended, on a restarted worker which holds a longer
+     * lease than was allowed, while its agent is cut off from the owner for longer than the owner
+     * waits.
+     */
+    @ParameterizedTest
+    @CsvSource({
+        "1,800,3600,5000",
+        "2,2500,3600,5000",
+        "3,200,3010,6000",
+        "3,200,3100,7500",
+        "4,2500,3600,6500",
+        "5,200,3600,7000",
+        "6,800,3600,9000"
+    })
+    void tasksOnUnnoticedlyRestartedWorkerRunOnce(
+            long seed, int taskMillis, int cutAtMillis, int cutMillis) {
+        FaultEvent restart = new FaultEvent(3_000, SILENT_RESTART, 0, 5, seed);
+        FaultEvent cut = new FaultEvent(cutAtMillis, LINK_CUT, 0, cutMillis, seed);
+        check(new FaultPlan(-4, taskMillis, 500, List.of(restart, cut)));
+    }
+
     private static void check(long seed) {
         check(FaultPlan.draw(seed, FaultKind.RECORDED));
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultKind.java
@@ -41,7 +41,12 @@
      * The owner and the agent of one VM are cut off together from the store and all others, and the
      * next owner starts soon.
      */
-    OWNER_ISOLATION;
+    OWNER_ISOLATION,
+    /**
+     * A worker starts again under its identifier, and calls that wait for its former incarnation go
+     * silent, so that its agent notices late.
+     */
+    SILENT_RESTART;
 
     /** Kinds that the recorded seeds draw from; further kinds would change their plans. */
     static final List<FaultKind> RECORDED = List.copyOf(EnumSet.range(BAD_CALLS, FOREIGN_REPORT));
--- a/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
@@ -78,6 +78,7 @@
         OwnerSettings owner =
                 new OwnerSettings(
                         LEASE,
+                        Duration.ofSeconds(10),
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(6),
                         Duration.ofMillis(400),
--- a/node/src/test/java/org/knapweedbank/node/entry/ModelWorker.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ModelWorker.java
@@ -29,6 +29,12 @@
     private static final long STOP_MILLIS = 50;
     private static final long MAX_LEASE_MILLIS = 10_000;
 
+    /** Clock of an incarnation when it starts, in milliseconds. */
+    private static final long CLOCK_MILLIS = 1_000;
+
+    /** The same for the first one, which has been up for a minute when the test begins. */
+    private static final long FIRST_LIFE_CLOCK_MILLIS = 60_000;
+
     private final ManualTimers mTimers;
     private final ManualClock mClock;
     private final RunChecker mChecker;
@@ -38,6 +44,7 @@
     private final List<EndedRun> mEnds = new ArrayList<>();
     private final List<Renewal> mWaitingRenewals = new ArrayList<>();
     private WorkerId mWorker = new WorkerId("", 0);
+    private long mFirstClockMillis;
     private long mStartedAtMillis;
     private long mLeaseEndMillis;
     private long mLastEndNumber;
@@ -59,6 +66,7 @@
     private record Renewal(LeaseRenewalRequest mRequest, Consumer<LeaseRenewalReply> mDone) {}
 
     void start(String id) {
+        mFirstClockMillis = mWorker.id().isEmpty() ? FIRST_LIFE_CLOCK_MILLIS : CLOCK_MILLIS;
         mWorker = new WorkerId(id, mClock.wallTime().toEpochMilli());
         mStartedAtMillis = mClock.monotonicMillis();
         mBarredRuns.clear();
@@ -69,13 +77,18 @@
     }
 
     void crash() {
+        List<Renewal> broken = List.copyOf(mWaitingRenewals);
+        crashSilently();
+        broken.forEach(renewal -> renewal.mDone().accept(new LeaseRenewalReply.NoAnswer("closed")));
+    }
+
+    /** Ends the incarnation; calls that wait get no answer. */
+    void crashSilently() {
         mUp = false;
         mChecker.crashed(mWorker);
         mRuns.clear();
         mEnds.clear();
-        List<Renewal> broken = List.copyOf(mWaitingRenewals);
         mWaitingRenewals.clear();
-        broken.forEach(renewal -> renewal.mDone().accept(new LeaseRenewalReply.NoAnswer("closed")));
     }
 
     boolean up() {
@@ -92,7 +105,7 @@
     }
 
     private long clockMillis() {
-        return 1_000 + mClock.monotonicMillis() - mStartedAtMillis;
+        return mFirstClockMillis + mClock.monotonicMillis() - mStartedAtMillis;
     }
 
     private void advance() {
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -58,7 +58,8 @@
     private OwnershipTerm startTerm(long term) {
         OwnerSettings owner =
                 new OwnerSettings(
-                        TIMEOUT, AUTHORITY, SILENCE, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT, 1);
+                        TIMEOUT, TIMEOUT, AUTHORITY, SILENCE, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT,
+                        1);
         EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, TIMEOUT, owner);
         OwnershipTerm ownership =
                 new OwnershipTerm(
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -42,6 +42,7 @@
     private static final OwnerSettings SETTINGS =
             new OwnerSettings(
                     Duration.ofSeconds(6),
+                    Duration.ofSeconds(10),
                     Duration.ofSeconds(1),
                     Duration.ofSeconds(6),
                     Duration.ofSeconds(1),
--- a/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/VmFixture.java
@@ -23,6 +23,7 @@
     private static final AgentSettings SETTINGS =
             new AgentSettings(
                     Duration.ofSeconds(5),
+                    Duration.ofSeconds(10),
                     Duration.ofSeconds(2),
                     Duration.ofMillis(1_500),
                     Duration.ofMillis(500));
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -68,6 +68,7 @@
         OwnerSettings owner =
                 new OwnerSettings(
                         LEASE,
+                        Duration.ofSeconds(10),
                         Duration.ofSeconds(1),
                         Duration.ofSeconds(6),
                         Duration.ofMillis(400),
@@ -658,6 +659,63 @@
         assertThat(mHistory.doneOn(busy.mWorker.info().id().id())).isGreaterThan(0);
     }
 
+    /** Lets a worker that holds leases for ten seconds restart, and take orders unnoticed. */
+    private VmFixture startJobOnWorkerThatRestartsUnnoticed() {
+        mTimers.advance(Duration.ofSeconds(20));
+        VmFixture restarted = mVms.get(0);
+        restarted.mWorker.mMaxLease = Duration.ofSeconds(10);
+        restarted.mWorker.crashSilently();
+        mTimers.advance(Duration.ofMillis(5));
+        restarted.startWorker("w-0", Duration.ofSeconds(20));
+        submit("a");
+        mTimers.advance(Duration.ofMillis(200));
+        assertThat(restarted.mWorker.runningCount()).isGreaterThan(0);
+        return restarted;
+    }
+
+    /**
+     * Guards against a second run of tasks that a restarted worker holds for longer than any lease
+     * that was allowed, since it took their orders before its agent knew of the restart. The agent
+     * reaches the worker, but not the owner.
+     */
+    @Test
+    void tasksHeldByRestartedWorkerWhoseAgentIsCutOffDoNotRunTwice() {
+        VmFixture restarted = startJobOnWorkerThatRestartsUnnoticed();
+        restarted.disconnect();
+        mTimers.advance(Duration.ofSeconds(12));
+        restarted.reconnect();
+        mTimers.advance(Duration.ofSeconds(40));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
+    /** Guards against the same while the answers of the worker are lost. */
+    @Test
+    void tasksHeldByRestartedWorkerWhoseAnswersAreLostDoNotRunTwice() {
+        VmFixture restarted = startJobOnWorkerThatRestartsUnnoticed();
+        restarted.mWorker.mAnswersLost = true;
+        mTimers.advance(Duration.ofSeconds(12));
+        restarted.mWorker.mAnswersLost = false;
+        mTimers.advance(Duration.ofSeconds(40));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
+    /** Guards against the same after the agent is lost, once it has reported the restart. */
+    @Test
+    void tasksHeldByRestartedWorkerWhoseAgentIsLostDoNotRunTwice() {
+        VmFixture restarted = startJobOnWorkerThatRestartsUnnoticed();
+        restarted.sendStatusReport();
+        mTimers.advance(Duration.ofMillis(500));
+        restarted.killAgent();
+        mTimers.advance(Duration.ofSeconds(12));
+        restarted.startAgent();
+        restarted.sendStatusReport();
+        mTimers.advance(Duration.ofSeconds(40));
+        assertThat(mHistory.mRepeated).isEmpty();
+        assertThat(mHistory.mDone).containsExactlyElementsIn(tasks("a"));
+    }
+
     /**
      * Guards against a second run of tasks whose ends the next incarnation forgot unread, because a
      * renewal with an acknowledgement outlived the incarnation that it was sent to.
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerStandIn.java
@@ -30,9 +30,6 @@
     private static final Duration STEP = Duration.ofMillis(10);
     private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(1_500);
 
-    /** Maximum time for which a lease holds; a longer one is shortened. */
-    private static final Duration MAX_LEASE = Duration.ofSeconds(6);
-
     private final ManualTimers mTimers;
     private final ManualClock mClock;
     private final RunHistory mHistory;
@@ -51,6 +48,9 @@
     private final List<Renewal> mWaitingRenewals = new ArrayList<>();
     private boolean mUp;
 
+    /** Maximum time for which a lease holds; a longer one is shortened. */
+    Duration mMaxLease = Duration.ofSeconds(6);
+
     /** Time that each task takes. */
     Duration mTaskDuration = Duration.ofSeconds(12);
 
@@ -108,6 +108,20 @@
         mUp = true;
     }
 
+    /** Ends the incarnation without a notice; calls that wait time out as if nothing had ended. */
+    void crashSilently() {
+        List<Renewal> unanswered = List.copyOf(mWaitingRenewals);
+        mWaitingRenewals.clear();
+        crash();
+        mTimers.after(
+                ANSWER_TIMEOUT,
+                () ->
+                        unanswered.forEach(
+                                renewal ->
+                                        renewal.mDone()
+                                                .accept(new LeaseRenewalReply.NoAnswer("silent"))));
+    }
+
     /** Ends the incarnation without a notice. */
     void crash() {
         mUp = false;
@@ -232,7 +246,7 @@
     }
 
     private void extendLease(long endMillis) {
-        long maxEndMillis = clockMillis() + MAX_LEASE.toMillis();
+        long maxEndMillis = clockMillis() + mMaxLease.toMillis();
         mLeaseEndMillis = Math.max(mLeaseEndMillis, Math.min(endMillis, maxEndMillis));
     }
 
