--- a/soak/src/main/java/org/knapweedbank/soak/Deployment.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Deployment.java
@@ -148,6 +148,11 @@
         return mStoreProxies.get(process);
     }
 
+    /** Returns the proxies in front of the workers and of the store. */
+    List<Proxy> proxies() {
+        return Stream.concat(mWorkerProxies.stream(), mStoreProxies.stream()).toList();
+    }
+
     StoreStandIn store() {
         return mStore;
     }
--- a/soak/src/main/java/org/knapweedbank/soak/Fault.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Fault.java
@@ -5,6 +5,15 @@
     /** A worker crashes and starts again under its identifier. */
     record WorkerRestart(int worker, long downMillis, long firstReportMillis) implements Fault {}
 
+    /** A worker leaves, with or without a confirmation of its notice, and starts again. */
+    record WorkerDeparture(int worker, boolean confirmed, long downMillis) implements Fault {}
+
+    /** The owner, an agent and its worker are lost together and return much later. */
+    record DataCentreLoss(int worker, long downMillis) implements Fault {}
+
+    /** All open connections to workers and to the store go silent at once. */
+    record SilentConnections() implements Fault {}
+
     /** The owner ends by a signal and starts again. */
     record OwnerEnd(ProcessSignal signal, long downMillis) implements Fault {}
 
--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -19,6 +19,7 @@
     private static final long EARLY_REPORT_MILLIS = 100;
 
     private static final long MAX_RESTART_MILLIS = 1_500;
+    private static final long MAX_LOSS_MILLIS = 12_000;
     private static final long MAX_LATE_ORDER_MILLIS = 6_000;
 
     /** Time after the start of a hand-over within which workers restart. */
@@ -107,6 +108,9 @@
         addSeries(3_000, at -> add(at, workerCut()));
         addSeries(5_000, at -> add(at, storeCut()));
         addSeries(12_000, at -> add(at, storeOutage()));
+        addSeries(5_000, at -> add(at, departure()));
+        addSeries(12_000, at -> add(at, new Fault.SilentConnections()));
+        addSeries(15_000, at -> add(at, dataCentreLoss()));
     }
 
     /** Adds faults at exponentially distributed intervals. */
@@ -143,6 +147,18 @@
         return new Fault.AgentKill(mRandom.nextInt(mWorkers), between(100, MAX_RESTART_MILLIS));
     }
 
+    private Fault departure() {
+        return new Fault.WorkerDeparture(
+                mRandom.nextInt(mWorkers),
+                mRandom.nextBoolean(),
+                between(MIN_DOWN_MILLIS, MAX_RESTART_MILLIS));
+    }
+
+    private Fault dataCentreLoss() {
+        return new Fault.DataCentreLoss(
+                mRandom.nextInt(mWorkers), between(MAX_RESTART_MILLIS, MAX_LOSS_MILLIS));
+    }
+
     private Fault pause() {
         return new Fault.Pause(
                 mRandom.nextInt(3) == 0, mRandom.nextInt(mWorkers), between(200, 8_000));
--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlayer.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlayer.java
@@ -63,6 +63,16 @@
                     worker.start(restart.firstReportMillis());
                 }
             }
+            case Fault.WorkerDeparture departure -> {
+                WorkerStandIn worker = mDeployment.worker(departure.worker());
+                if (worker.leave(departure.confirmed())) {
+                    sleep(departure.downMillis());
+                    worker.start(0);
+                }
+            }
+            case Fault.DataCentreLoss loss -> loseDataCentre(loss);
+            case Fault.SilentConnections ignored ->
+                    mDeployment.proxies().forEach(proxy -> proxy.silence(1));
             case Fault.OwnerEnd end ->
                     endAndRestart(mDeployment.owner(), end.signal(), end.downMillis());
             case Fault.AgentKill kill ->
@@ -92,6 +102,22 @@
         }
     }
 
+    private void loseDataCentre(Fault.DataCentreLoss loss)
+            throws IOException, InterruptedException {
+        RoleProcess owner = mDeployment.owner();
+        RoleProcess agent = mDeployment.agent(loss.worker());
+        WorkerStandIn worker = mDeployment.worker(loss.worker());
+        boolean workerWasUp = worker.crash();
+        agent.end(ProcessSignal.KILL, Deployment.STOP_GRACE);
+        owner.end(ProcessSignal.KILL, Deployment.STOP_GRACE);
+        sleep(loss.downMillis());
+        owner.start();
+        agent.start();
+        if (workerWasUp) {
+            worker.start(0);
+        }
+    }
+
     private static void cut(Proxy proxy, boolean reset, double share) {
         if (reset) {
             proxy.reset(share);
--- a/soak/src/main/java/org/knapweedbank/soak/WorkerStandIn.java
+++ b/soak/src/main/java/org/knapweedbank/soak/WorkerStandIn.java
@@ -22,6 +22,13 @@
 final class WorkerStandIn implements AutoCloseable {
     private static final long REPORT_INTERVAL_MILLIS = 1_500;
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
+
+    /** Time between the first report that a worker drains and its notice that it leaves. */
+    private static final long DRAIN_MILLIS = 2_500;
+
+    /** Time after which a worker without a confirmation of its notice ends. */
+    private static final long UNCONFIRMED_MILLIS = 4_000;
+
     private static final long MAX_LEASE_MILLIS = 10_000;
     private static final long MAX_WAIT_MILLIS = 2_000;
     private static final long FIRST_CLOCK_MILLIS = 1_000;
@@ -65,6 +72,7 @@
     private HttpServer mServer;
     private long mIncarnation;
     private long mStartMillis;
+    private boolean mDraining;
     private long mFence;
     private long mLeaseEnd;
     private long mLastEnd;
@@ -90,6 +98,7 @@
         mFence = 0;
         mLeaseEnd = 0;
         mLastEnd = 0;
+        mDraining = false;
         mServer = HttpJson.serve(mPlace.host(), mPlace.port(), call -> handle(life, call));
         Thread.ofPlatform().daemon().start(() -> report(life, firstReportMillis));
         Thread.ofPlatform().daemon().start(() -> work(life));
@@ -118,6 +127,36 @@
         return true;
     }
 
+    /**
+     * Leaves as planned: reports that it drains, sends its notice and ends. Without a confirmation
+     * it ends some seconds after the notice.
+     *
+     * @param confirmed false if the confirmation is lost
+     * @return false if the worker was down or ended otherwise
+     */
+    boolean leave(boolean confirmed) throws InterruptedException {
+        int life;
+        synchronized (this) {
+            if (isDown() || mDraining) {
+                return false;
+            }
+            life = mLife;
+            mDraining = true;
+        }
+        TimeUnit.MILLISECONDS.sleep(DRAIN_MILLIS);
+        String url = "http://" + mPlace.agentAddress() + "/api/Instances.Leave/" + id();
+        HttpJson.Answer answer = HttpJson.call(mClient, "POST", url, "", "", REPORT_TIMEOUT);
+        if (!confirmed || !answer.isSuccess()) {
+            TimeUnit.MILLISECONDS.sleep(UNCONFIRMED_MILLIS);
+        }
+        synchronized (this) {
+            if (life != mLife) {
+                return false;
+            }
+        }
+        return crash();
+    }
+
     @Override
     public void close() {
         crash();
@@ -145,7 +184,8 @@
                     if (life != mLife) {
                         return;
                     }
-                    report.put("service", mPlace.service()).put("state", "ready");
+                    report.put("service", mPlace.service())
+                            .put("state", mDraining ? "draining" : "ready");
                     report.put("address", mPlace.reportedAddress()).put("zone", "zone-a");
                     report.put("version", "v1").put("slots", 8).put("cold_left_ms", 0);
                     report.put("clock_ms", clock()).put("seq", sequence).put("born", mIncarnation);
