Answer that a job does not exist only after the store shows no later owner

Cause: a job that is missing in one owner may have been accepted by a later one. The owner answered from memory, cancels without any check and reads with a confirmation of its term that could be seconds old.

OwnershipTermTest.supersededOwnerDoesNotReportJobAsUnknown and unconfirmedOwnerDoesNotReportJobAsUnknown fail without this change.

Change: the owner reads the term from the store, after the call has come, before it answers that a job does not exist. If a later term has begun, the call is left for the next owner; without an answer of the store it is refused. Calls that come during a read share the next one. unconfirmedOwnerDoesNotReportJobAsUnknown now makes the store unavailable in place of letting the confirmation grow old, as its age no longer matters, and covers cancels, too.

--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -98,6 +98,7 @@
 
     private final List<EntryLink> mEntryLinks = new ArrayList<>();
     private final TermPoll mPoll;
+    private final TermCheck mTermCheck;
 
     /**
      * Entries that were linked at some time since the store has last shown the registered ones.
@@ -148,6 +149,7 @@
         mOtherEntries = otherEntries;
         mOnDeposed = onDeposed;
         mPoll = new TermPoll(clock);
+        mTermCheck = new TermCheck(store, termRevision);
     }
 
     long term() {
@@ -208,25 +210,38 @@
             case CallRequest.Read read when isUnreadable(read.job()) -> done.accept(UNREADABLE_JOB);
             case CallRequest.Submit submit -> submit(submit, done);
             case CallRequest.Cancel cancel -> cancel(cancel, done);
-            case CallRequest.Read read -> done.accept(read(read.job()));
+            case CallRequest.Read read -> read(read.job(), done);
             case CallRequest.Count count ->
                     done.accept(new CallAnswer.Pending(mOwner.countPendingJobs(count.queue())));
         }
     }
 
-    /**
-     * Returns the state of a job. Without a recent confirmation of the ownership, a job that is
-     * missing here may have been accepted by a later owner.
-     */
-    private CallAnswer read(JobId id) {
+    private void read(JobId id, Consumer<CallAnswer> done) {
         Optional<Job> job = mOwner.find(id);
         if (job.isPresent()) {
-            return new CallAnswer.State(job.get().state());
+            done.accept(new CallAnswer.State(job.get().state()));
+        } else {
+            answerAbsentJob(done);
         }
-        return mOwner.ownershipConfirmed()
-                ? new CallAnswer.NoSuchJob()
-                : new CallAnswer.Refused(
-                        "the ownership is not confirmed", false, OWNER_RETRY_AFTER);
+    }
+
+    /**
+     * Answers a call for a job that is missing here. A later owner may have accepted it, so the
+     * store has to show first that there is none.
+     */
+    private void answerAbsentJob(Consumer<CallAnswer> done) {
+        mTermCheck.request(
+                result ->
+                        done.accept(
+                                switch (result) {
+                                    case NEWEST -> new CallAnswer.NoSuchJob();
+                                    case SUPERSEDED -> null;
+                                    case UNKNOWN ->
+                                            new CallAnswer.Refused(
+                                                    "the ownership is not confirmed",
+                                                    false,
+                                                    OWNER_RETRY_AFTER);
+                                }));
     }
 
     private boolean isUnreadable(JobId job) {
@@ -408,7 +423,7 @@
     private void cancel(CallRequest.Cancel cancel, Consumer<CallAnswer> done) {
         Optional<Job> job = mOwner.find(cancel.job()).flatMap(found -> mOwner.cancel(found.id()));
         if (job.isEmpty()) {
-            done.accept(new CallAnswer.NoSuchJob());
+            answerAbsentJob(done);
         } else {
             answerWhenStored(job.get(), job.get().version(), done);
         }
--- a/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FakeStore.java
@@ -42,6 +42,7 @@
     Duration mWriteAnswerDelay = Duration.ZERO;
 
     int mWriteCount;
+    int mReadCount;
 
     /** Fault of a write. */
     enum WriteFault {
@@ -61,6 +62,7 @@
 
     @Override
     public void read(String prefix, boolean allowStale, Consumer<ReadOutcome> done) {
+        mReadCount++;
         mTimers.after(
                 ANSWER_DELAY,
                 () ->
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -18,6 +18,7 @@
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
@@ -47,6 +48,7 @@
     private final FakeStore mStore = new FakeStore(mTimers);
     private final List<CallAnswer> mAnswers = new ArrayList<>();
     private OwnershipTerm mOwnership;
+    private JobOwner mOwner;
     private Set<DaemonId> mOtherEntries = Set.of(OTHER_ENTRY);
 
     @BeforeEach
@@ -73,9 +75,11 @@
                         () -> mOtherEntries,
                         () -> {});
         ownership.load(
-                loaded ->
-                        loaded.configure(
-                                List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, TIMEOUT, TIMEOUT))));
+                loaded -> {
+                    mOwner = loaded;
+                    loaded.configure(
+                            List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, TIMEOUT, TIMEOUT)));
+                });
         mTimers.advance(Duration.ofMillis(100));
         return ownership;
     }
@@ -144,6 +148,7 @@
     void callsForUnknownJobAreAnsweredNoSuchJob() {
         mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
         mOwnership.call(new CallRequest.Cancel(QUEUE, JOB), mAnswers::add);
+        mTimers.advance(Duration.ofMillis(50));
         assertThat(mAnswers)
                 .containsExactly(new CallAnswer.NoSuchJob(), new CallAnswer.NoSuchJob());
     }
@@ -182,16 +187,41 @@
     }
 
     /**
-     * Guards against an owner that reports a job as unknown although its ownership has run out and
-     * a later owner may have accepted the job.
+     * Guards against an owner that reports a job as unknown although a later owner, of which it has
+     * not heard yet, may have accepted the job.
      */
     @Test
+    void supersededOwnerDoesNotReportJobAsUnknown() {
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'2'}, 0));
+        mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        mOwnership.call(new CallRequest.Cancel(QUEUE, JOB), mAnswers::add);
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mAnswers).containsExactly(null, null);
+    }
+
+    /** Guards against the same while the store does not tell whether there is a later owner. */
+    @Test
     void unconfirmedOwnerDoesNotReportJobAsUnknown() {
+        mStore.mUnavailable = true;
+        mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
+        mOwnership.call(new CallRequest.Cancel(QUEUE, JOB), mAnswers::add);
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mAnswers).hasSize(2);
+        assertThat(mAnswers.get(0)).isInstanceOf(CallAnswer.Refused.class);
+        assertThat(mAnswers.get(1)).isInstanceOf(CallAnswer.Refused.class);
+    }
+
+    /** Guards against a call that is answered by a read of the term from before it came. */
+    @Test
+    void callDuringACheckOfTheTermWaitsForTheNextOne() {
         mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
-        assertThat(mAnswers.getLast()).isInstanceOf(CallAnswer.NoSuchJob.class);
-        mClock.advance(AUTHORITY.plusMillis(1));
+        mTimers.advance(Duration.ofMillis(2));
+        int reads = mStore.mReadCount;
+        mOwnership.call(new CallRequest.Cancel(QUEUE, JOB), mAnswers::add);
         mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
-        assertThat(mAnswers.getLast()).isInstanceOf(CallAnswer.Refused.class);
+        mTimers.advance(Duration.ofMillis(50));
+        assertThat(mAnswers).hasSize(3);
+        assertThat(mStore.mReadCount).isEqualTo(reads + 1);
     }
 
     /** Links the other entry and lets it answer queries while a condition holds. */
@@ -221,9 +251,7 @@
     }
 
     private boolean isConfirmed() {
-        mAnswers.clear();
-        mOwnership.call(new CallRequest.Read(QUEUE, JOB), mAnswers::add);
-        return mAnswers.getLast() instanceof CallAnswer.NoSuchJob;
+        return mOwner.ownershipConfirmed();
     }
 
     /**
