Let an entry that can't take over state that it has begun no term

Cause: the owner, whose writes fail, asks the others to take over every 0.6 s, and each of them first renews its own lease. For that time, up to the whole timeout of the renewal, an entry counted as claiming and made no statement, so the owner was unconfirmed from 2.6 s on.

ElectionTest.entryThatCannotTakeOverStatesThatItHasBegunNoTerm fails without this change.

Change: what bars a statement is a claim that was sent, not the check before it. Any claim that is sent later begins its term later than the statement, which is all that it says.

--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -169,10 +169,10 @@
 
     /**
      * Returns whether this entry has begun no term later than the given one. It may begin one right
-     * after; a claim without an answer may have begun one unseen.
+     * after, but has not sent a claim that may be carried out unseen.
      */
     boolean hasBegunNoTermAfter(long term) {
-        return mOwnTerm == 0 && !mClaimPending && mOpenClaim == null && mView.term() <= term;
+        return mOwnTerm == 0 && mOpenClaim == null && mView.term() <= term;
     }
 
     /** Forgets the lease, with which the keys of this entry have ended. */
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -403,9 +403,28 @@
         assertThat(first.mElection.hasBegunNoTermAfter(1)).isFalse();
         assertThat(second.mElection.hasBegunNoTermAfter(1)).isTrue();
         second.mElection.takeOver(1);
+        mTimers.advance(Duration.ofMillis(6));
+        assertThat(second.mTermsWon).isEmpty();
         assertThat(second.mElection.hasBegunNoTermAfter(1)).isFalse();
     }
 
+    /**
+     * Guards against an owner that stops during an outage of the store because it has asked the
+     * others to take over, which they can't either.
+     */
+    @Test
+    void entryThatCannotTakeOverStatesThatItHasBegunNoTerm() {
+        new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        advanceSeconds(1);
+        mStore.mUnavailable = true;
+        second.mElection.takeOver(1);
+        assertThat(second.mElection.hasBegunNoTermAfter(1)).isTrue();
+        advanceSeconds(1);
+        assertThat(second.mElection.hasBegunNoTermAfter(1)).isTrue();
+    }
+
     /**
      * Guards against a statement by an entry whose claim got no answer and may be carried out
      * unseen.
