Move the excess lease of a restarted worker out of LeaseAuthority

LeaseAuthority tracked two things, what the owner allows and what a restarted worker may hold beyond that. The second has a class of its own; behaviour is unchanged.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -296,7 +296,7 @@
     public void received(NodeMessage message) {
         switch (message) {
             case NodeMessage.Pong pong -> {
-                mAuthority.updateOverdue(isIdle());
+                mAuthority.excessLease().update(isIdle());
                 mAuthority.grant(pong.number());
             }
             case NodeMessage.Start start -> handleStart(start);
@@ -330,7 +330,7 @@
         mPollId++;
         mAuthority.reset();
         if (sameId) {
-            mAuthority.recordRestart(worker.id().incarnation());
+            mAuthority.excessLease().recordRestart(worker.id().incarnation());
         }
     }
 
@@ -362,7 +362,7 @@
         }
         long sentAtMillis = mClock.monotonicMillis();
         long leaseEndMillis = mAuthority.leaseEndMillis();
-        boolean overdue = mAuthority.isOverdue();
+        boolean overdue = mAuthority.excessLease().isOverdue();
         OptionalLong newLeaseEndMillis =
                 mWorkerAnswers
                                 && mDeparture == null
@@ -371,15 +371,14 @@
                         ? OptionalLong.of(leaseEndMillis)
                         : OptionalLong.empty();
         if (newLeaseEndMillis.isPresent()) {
-            mAuthority.recordDeadlineSent();
+            mAuthority.excessLease().recordDeadlineSent();
         }
         ListRequest lists = new ListRequest(mTerm, sentAtMillis, mAuthority.newestGrant());
         WorkerId worker = mWorker.id();
         // The worker may have started again since it last answered. A new incarnation would discard
         // ends that nobody has read, as it numbers them from 1 again, and would take a deadline on
-        // the clock of its predecessor for one far ahead. An overdue worker keeps its ends until
-        // its
-        // lease has ended, as their tasks may run elsewhere.
+        // the clock of its predecessor for one far ahead. An overdue worker keeps its ends, as
+        // their tasks may run elsewhere.
         long acknowledgedEnd = mWorkerAnswers && !overdue ? mRuns.highestAcknowledged() : 0;
         LeaseRenewalRequest request =
                 new LeaseRenewalRequest(worker, mTerm, acknowledgedEnd, newLeaseEndMillis, maxWait);
@@ -573,7 +572,7 @@
                         startDeadlineMillis(mAuthority.workerClockMillis()));
         Run run = mRuns.addOrdered(order, mWorker.id(), deadlineMillis, mClock.monotonicMillis());
         run.mClockReadingMillis = mAuthority.latestReadingMillis();
-        mAuthority.recordDeadlineSent();
+        mAuthority.excessLease().recordDeadlineSent();
         mWorkerClient.start(
                 mWorker.id(), order, deadlineMillis, mTerm, reply -> handleStartReply(run, reply));
     }
@@ -600,7 +599,7 @@
         if (!mAuthority.isRecent(message.permit(), mSettings.maxPermitAge())) {
             return "permit " + message.permit() + " is too old";
         }
-        if (mAuthority.isOverdue()) {
+        if (mAuthority.excessLease().isOverdue()) {
             return "the worker may hold a lease that was not allowed";
         }
         if (mAuthority.leaseEndMillis() <= mAuthority.workerClockMillis()) {
@@ -653,7 +652,7 @@
             handleRestart(reply.incarnation().getAsLong());
         } else if (clockMillis < run.mClockReadingMillis) {
             mWorkerAnswers = false;
-            mAuthority.recordExcessLease();
+            mAuthority.excessLease().recordDeadlineTaken();
             restartPolling();
         }
     }
@@ -713,7 +712,7 @@
         if (mNoWorkerReason == null && mAuthority.allLeasesExpired()) {
             handleLeaseExpiry();
         }
-        mAuthority.updateOverdue(isIdle());
+        mAuthority.excessLease().update(isIdle());
         stopOverdueRuns();
         if (mReported == Reported.ALL_RUNS && mTickCount % 2 == 0) {
             sendToOwner(
@@ -742,7 +741,7 @@
     /** Stops the runs that the worker may hold for longer than the owner counts with. */
     private void stopOverdueRuns() {
         List<Run> running = mRuns.runs().stream().filter(run -> !run.mStopping).toList();
-        if (mWorker != null && mAuthority.isOverdue() && !running.isEmpty()) {
+        if (mWorker != null && mAuthority.excessLease().isOverdue() && !running.isEmpty()) {
             mLog.record("worker.overdue", mWorker.id(), "runs", running.size());
             running.forEach(run -> stopRun(run.mTask, run.mNumber));
         }
@@ -783,7 +782,10 @@
      * for a worker which this process has never reached would keep its runs forever.
      */
     private Optional<WorkerId> leasedWorker() {
-        boolean leased = mNoWorkerReason == null && mDeparture == null && !mAuthority.isOverdue();
+        boolean leased =
+                mNoWorkerReason == null
+                        && mDeparture == null
+                        && !mAuthority.excessLease().isOverdue();
         return mWorker != null && leased && mAuthority.hasReading()
                 ? Optional.of(mWorker.id())
                 : Optional.empty();
--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
@@ -21,18 +21,9 @@
     /** Margin after the lease's end before all runs on a silent worker count as ended. */
     private static final long CLOCK_MARGIN_MILLIS = 400;
 
-    /**
-     * Time before the end of the allowed lease at which runs that a worker may hold for longer are
-     * stopped. A stop takes up to a second.
-     */
-    private static final long STOP_MILLIS = 1_000;
-
-    /** Maximum difference between the wall clocks of agent and worker. */
-    private static final long MAX_WALL_DIFFERENCE_MILLIS = 1_000;
-
     private final Clock mClock;
     private final Duration mTaskLease;
-    private final Duration mMaxWorkerLease;
+    private final ExcessLease mExcessLease;
     private final Deque<Request> mRequests = new ArrayDeque<>();
     private long mLastNumber;
     private long mNewestGrant;
@@ -43,24 +34,16 @@
     /** Monotonic time in milliseconds since which this process has extended no lease. */
     private long mNoLeaseSinceMillis;
 
-    /** Monotonic time in milliseconds at which the newest request that was granted was sent. */
-    private long mGrantedRequestAtMillis;
-
-    /**
-     * Monotonic time in milliseconds until which the worker may hold a lease that was not allowed.
-     */
-    private long mExcessLeaseUntilMillis = Long.MIN_VALUE;
-
-    private boolean mOverdue;
-
-    private Timestamp mDeadlineSentAt = Timestamp.NEVER;
-
     LeaseAuthority(Clock clock, Duration taskLease, Duration maxWorkerLease) {
         mClock = clock;
         mTaskLease = taskLease;
-        mMaxWorkerLease = maxWorkerLease;
+        mExcessLease = new ExcessLease(clock, taskLease, maxWorkerLease);
         mNoLeaseSinceMillis = clock.monotonicMillis();
-        mGrantedRequestAtMillis = mNoLeaseSinceMillis;
+    }
+
+    /** Returns the lease that the worker may hold beyond what is allowed. */
+    ExcessLease excessLease() {
+        return mExcessLease;
     }
 
     /** Discards the state of an earlier incarnation of the worker. */
@@ -71,56 +54,11 @@
         mNoLeaseSinceMillis = mClock.monotonicMillis();
     }
 
-    /** Records that a call with a deadline on the clock of the known incarnation is sent now. */
-    void recordDeadlineSent() {
-        mDeadlineSentAt = Timestamp.now(mClock);
-    }
-
-    /**
-     * Records that the worker has started again under its identifier. If a call was sent with a
-     * deadline of the former incarnation, whose clock was ahead, it may hold a lease that is longer
-     * than any that was allowed.
-     *
-     * @param startMillis start of the present incarnation in Unix milliseconds
-     */
-    void recordRestart(long startMillis) {
-        if (mDeadlineSentAt.wallTime().toEpochMilli() > startMillis - MAX_WALL_DIFFERENCE_MILLIS) {
-            recordExcessLease();
-        }
-    }
-
-    /** Records that the present incarnation has carried out a call with such a deadline. */
-    void recordExcessLease() {
-        mExcessLeaseUntilMillis = mClock.monotonicMillis() + realMillis(mMaxWorkerLease.toMillis());
-    }
-
     /** Returns the maximum time that a lease takes on a worker's clock, with a margin. */
-    private static long realMillis(long leaseMillis) {
+    static long maxRealMillis(long leaseMillis) {
         return (long) (leaseMillis * MAX_CLOCK_RATE_FACTOR) + CLOCK_MARGIN_MILLIS;
     }
 
-    private boolean mayHoldExcessLease() {
-        return mClock.monotonicMillis() < mExcessLeaseUntilMillis;
-    }
-
-    /**
-     * Updates whether the worker is overdue: it may hold a longer lease than the owner counts with,
-     * and that of the owner has ended or is about to. The owner may then start the tasks elsewhere,
-     * whether they still run here or have ended unread. So a worker remains overdue, whatever the
-     * owner grants, until its own lease has ended too.
-     *
-     * @param idle true if nothing runs on the worker and none of its ends is left to be stored
-     */
-    void updateOverdue(boolean idle) {
-        long grantAgeMillis = mClock.monotonicMillis() - mGrantedRequestAtMillis;
-        boolean ownersLeaseEnds = grantAgeMillis > mTaskLease.toMillis() - STOP_MILLIS;
-        mOverdue = mayHoldExcessLease() && (mOverdue || ownersLeaseEnds && !idle);
-    }
-
-    boolean isOverdue() {
-        return mOverdue && mayHoldExcessLease();
-    }
-
     /** Records a reading of the worker's clock; returns false if a newer one is known. */
     boolean updateWorkerClock(long clockMillis) {
         if (clockMillis < mWorkerClockMillis) {
@@ -152,15 +90,12 @@
         return mLastNumber;
     }
 
-    /**
-     * Extends the lease that is allowed, after the owner has granted a request. {@link
-     * #updateOverdue} is called before, as a grant after a pause tells nothing of the time before.
-     */
+    /** Extends the lease that is allowed, after the owner has granted a request. */
     void grant(long number) {
         mNewestGrant = Math.max(mNewestGrant, number);
         mRequests.stream()
                 .filter(request -> request.mNumber == number)
-                .forEach(this::recordGrantedRequest);
+                .forEach(request -> mExcessLease.recordGrant(request.mSentAt.monotonicMillis()));
         mRequests.stream()
                 .filter(
                         request ->
@@ -175,11 +110,6 @@
                                                         + mTaskLease.toMillis()));
     }
 
-    private void recordGrantedRequest(Request request) {
-        mGrantedRequestAtMillis =
-                Math.max(mGrantedRequestAtMillis, request.mSentAt.monotonicMillis());
-    }
-
     /** Returns the number of the newest request that the owner has granted, 0 if none. */
     long newestGrant() {
         return mNewestGrant;
@@ -225,7 +155,7 @@
                 hasReading() && mLeaseEndMillis != Long.MIN_VALUE
                         ? Math.max(0, mLeaseEndMillis - mWorkerClockMillis)
                         : mTaskLease.toMillis();
-        return !mayHoldExcessLease() && silence().toMillis() > realMillis(leaseMillis);
+        return !mExcessLease.mayLast() && silence().toMillis() > maxRealMillis(leaseMillis);
     }
 
     private record Request(long mNumber, long mWorkerClockMillis, Timestamp mSentAt) {}
