Let a stopping entry withdraw, so that its end does not stop the owner in an outage

Cause: the owner goes on without the store while every entry that may take over states that it has not. A stopping entry takes no part in elections any more, but the owner did not know that.

Evidence: owner.unconfirmed at 32.1 s with two other entries and one link. OwnershipTermTest.entryThatHasWithdrawnKeepsTheOwnerFromGoingOnOnlyOnceItIsLinkedAgain fails without this change.

Change: a stopping entry states that it will begin no term (Withdrawal), unless a claim of it may still be carried out. It counts as a possible successor again when it is linked again or the store shows its key.

--- a/node/src/main/java/org/knapweedbank/node/entry/Election.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/Election.java
@@ -128,6 +128,16 @@
                 .start();
     }
 
+    /**
+     * Takes no further part in elections.
+     *
+     * @return false if a claim that was sent before may still begin a term
+     */
+    boolean withdraw() {
+        mResigned = true;
+        return mOpenClaim == null;
+    }
+
     /** Gives up the ownership and takes no further part in elections. */
     void resign(Runnable done) {
         mResigned = true;
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryLink.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryLink.java
@@ -11,6 +11,7 @@
     private final OwnershipTerm mOwnership;
     private final Link mLink;
     private final DaemonId mEntry;
+    private boolean mWithdrawn;
 
     EntryLink(OwnershipTerm ownership, Link link, DaemonId entry) {
         mOwnership = ownership;
@@ -22,6 +23,11 @@
         return mEntry;
     }
 
+    /** Returns whether the process of the entry has stated that it will begin no term any more. */
+    boolean isWithdrawn() {
+        return mWithdrawn;
+    }
+
     void send(NodeMessage message) {
         mLink.send(message);
     }
@@ -35,6 +41,10 @@
         switch (message) {
             case NodeMessage.Call call when mOwnership.isReady() ->
                     mOwnership.call(call.request(), answer -> sendReply(call.number(), answer));
+            case NodeMessage.Withdrawal withdrawal -> {
+                mWithdrawn = true;
+                mOwnership.handleWithdrawal(mEntry);
+            }
             case NodeMessage.TermAnswer answer ->
                     mOwnership.handleTermAnswer(answer.number(), mEntry);
             default -> mLink.close("unexpected message; only calls to the owner are accepted");
--- a/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/EntryNode.java
@@ -141,6 +141,9 @@
      */
     public void stop(Runnable onDeregistered) {
         mStopping = true;
+        if (mOwnership == null && mElection.withdraw()) {
+            mConnector.send(new NodeMessage.Withdrawal());
+        }
         handOverOwnership(() -> mElection.deregister(onDeregistered));
     }
 
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -12,7 +12,6 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import java.util.stream.Collectors;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.OrderCoverage;
 import org.knapweedbank.jobs.RunProfile;
@@ -96,16 +95,10 @@
     /** Start time of each agent's process, by which a restart of the agent is detected. */
     private final Map<DaemonId, Long> mAgentProcessStarts = new HashMap<>();
 
-    private final List<EntryLink> mEntryLinks = new ArrayList<>();
+    private final EntryLinks mEntryLinks = new EntryLinks();
     private final TermPoll mPoll;
     private final TermCheck mTermCheck;
 
-    /**
-     * Entries that were linked at some time since the store has last shown the registered ones.
-     * They may be registered since, and take over.
-     */
-    private final Set<DaemonId> mRecentlyLinked = new HashSet<>();
-
     /** Keys of job records that could not be read; the records are kept as they are. */
     private final Set<String> mUnreadableKeys = new HashSet<>();
 
@@ -183,7 +176,7 @@
         }
         List.copyOf(mAgentLinks.values())
                 .forEach(agent -> agent.mLink.close("the ownership has ended"));
-        List.copyOf(mEntryLinks).forEach(link -> link.close("the ownership has ended"));
+        mEntryLinks.closeAll("the ownership has ended");
         List.copyOf(mWaitingCalls).forEach(call -> call.complete(null));
         mWaitingCalls.clear();
     }
@@ -264,7 +257,6 @@
     LinkListener acceptEntry(Link link, NodeMessage.EntryHello hello) {
         EntryLink entry = new EntryLink(this, link, hello.entry());
         mEntryLinks.add(entry);
-        mRecentlyLinked.add(hello.entry());
         link.send(new NodeMessage.Welcome(term()));
         return entry;
     }
@@ -275,20 +267,18 @@
 
     /** Handles that the store has shown this term to be the newest, and all registered entries. */
     void confirmByStore(Timestamp askedAt) {
-        mRecentlyLinked.clear();
-        mRecentlyLinked.addAll(linkedEntries());
+        mEntryLinks.registeredEntriesRead();
         mOwner.confirmByStore(askedAt);
     }
 
-    private Set<DaemonId> linkedEntries() {
-        return mEntryLinks.stream().map(EntryLink::entry).collect(Collectors.toSet());
+    private Set<DaemonId> possibleSuccessors() {
+        return mEntryLinks.possibleSuccessors(mOtherEntries.get());
     }
 
-    /** Returns the other entries that may take over. */
-    private Set<DaemonId> possibleSuccessors() {
-        Set<DaemonId> successors = new HashSet<>(mOtherEntries.get());
-        successors.addAll(mRecentlyLinked);
-        return successors;
+    /** Handles the statement of an entry that it is stopping and will begin no term any more. */
+    void handleWithdrawal(DaemonId entry) {
+        mLog.record("entry.withdrawn", entry.value(), "term", term());
+        mEntryLinks.withdraw(entry);
     }
 
     /** Handles the statement of an entry that it had begun no later term at a query. */
@@ -498,7 +488,7 @@
                         && mWriter.lastWriteFailed();
         if (due && nowMillis - mTakeoverRequestedAtMillis > TAKEOVER_REQUEST_MILLIS) {
             mTakeoverRequestedAtMillis = nowMillis;
-            mEntryLinks.forEach(link -> link.send(new NodeMessage.TakeOver(term())));
+            mEntryLinks.send(new NodeMessage.TakeOver(term()));
         }
     }
 
@@ -521,9 +511,9 @@
             mOwner.confirmByEntries(Timestamp.now(mClock));
             return;
         }
-        if (linkedEntries().containsAll(successors)) {
+        if (mEntryLinks.linked().containsAll(successors)) {
             long number = mPoll.open(successors);
-            mEntryLinks.forEach(link -> link.send(new NodeMessage.TermQuery(term(), number)));
+            mEntryLinks.send(new NodeMessage.TermQuery(term(), number));
         }
     }
 
@@ -539,7 +529,7 @@
                     "other_entries",
                     possibleSuccessors().size(),
                     "linked",
-                    mEntryLinks.size());
+                    mEntryLinks.count());
         }
     }
 
--- a/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
+++ b/node/src/main/java/org/knapweedbank/node/link/NodeMessage.java
@@ -193,6 +193,9 @@
      */
     record TermAnswer(long number) implements NodeMessage {}
 
+    /** Statement of an entry that it is stopping and will begin no term any more. */
+    record Withdrawal() implements NodeMessage {}
+
     /**
      * Answer of the owner to a forwarded call.
      *
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -425,6 +425,27 @@
         assertThat(second.mElection.hasBegunNoTermAfter(1)).isTrue();
     }
 
+    /**
+     * Guards against an entry that states that it will begin no term, and begins one later by a
+     * claim without an answer.
+     */
+    @Test
+    void entryWithUncertainClaimDoesNotWithdraw() {
+        new Candidate("a", 1);
+        advanceSeconds(3);
+        Candidate second = new Candidate("b", 1);
+        Candidate third = new Candidate("c", 1);
+        advanceSeconds(1);
+        mStore.mWriteFaults.add(FakeStore.WriteFault.SILENT);
+        second.mElection.takeOver(1);
+        mTimers.advance(Duration.ofMillis(500));
+        assertThat(second.mElection.withdraw()).isFalse();
+        assertThat(third.mElection.withdraw()).isTrue();
+        third.mElection.takeOver(1);
+        advanceSeconds(2);
+        assertThat(third.mTermsWon).isEmpty();
+    }
+
     /**
      * Guards against a statement by an entry whose claim got no answer and may be carried out
      * unseen.
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -294,6 +294,22 @@
         assertThat(isConfirmed()).isTrue();
     }
 
+    /**
+     * Guards against an outage of the store that ends all leases because an entry stops meanwhile,
+     * and against an owner that goes on when that entry has started again.
+     */
+    @Test
+    void entryThatHasWithdrawnKeepsTheOwnerFromGoingOnOnlyOnceItIsLinkedAgain() {
+        LinkListener link = linkOtherEntry(() -> false);
+        link.received(new NodeMessage.Withdrawal());
+        link.closed("stopped");
+        mTimers.advance(Duration.ofSeconds(2));
+        assertThat(isConfirmed()).isTrue();
+        linkOtherEntry(() -> false);
+        mTimers.advance(AUTHORITY.plusMillis(300));
+        assertThat(isConfirmed()).isFalse();
+    }
+
     /** Guards against an owner that goes on while an entry that it can't reach may take over. */
     @Test
     void entryWithoutALinkKeepsTheOwnerFromGoingOn() {
--- a/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
+++ b/node/src/test/java/org/knapweedbank/node/link/NodeCodecTest.java
@@ -76,6 +76,7 @@
                 new NodeMessage.TakeOver(3),
                 new NodeMessage.TermQuery(3, 1),
                 new NodeMessage.TermAnswer(1),
+                new NodeMessage.Withdrawal(),
                 new NodeMessage.Ping(1, Optional.of(WORKER)),
                 new NodeMessage.Ping(2, Optional.empty()),
                 new NodeMessage.Pong(1),
