Count the entries' statements only after the store has shown the entries to the owner

A new owner took its claim for a view of the entries, though its last view may be a second older. An entry that registered in between could take over six seconds later, and count as known, while the owner still went on by the statements of the others. The time for which statements count now begins with the owner's first view of its term. OwnershipTermTest.statementsDoNotCountBeforeTheStoreHasShownTheEntries fails without the change.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -69,7 +69,7 @@
     private Timestamp mConfirmedAt;
 
     /** Latest moment at which the store has shown that, together with all entries. */
-    private Timestamp mEntriesReadAt;
+    private Timestamp mEntriesReadAt = Timestamp.NEVER;
 
     OwnerState(
             OwnerSettings settings,
@@ -84,7 +84,6 @@
         mTerm = takeover.term();
         mTakenOverAt = clock.monotonicMillis();
         mConfirmedAt = takeover.claimedAt();
-        mEntriesReadAt = takeover.claimedAt();
     }
 
     /** Returns the monotonic time in milliseconds. */
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -261,17 +261,30 @@
     @Test
     void statementsOfAllOtherEntriesReplaceTheStoreForATime() {
         linkOtherEntry(() -> true);
+        mOwnership.confirmByStore(Timestamp.now(mClock));
         mTimers.advance(SILENCE);
         assertThat(isConfirmed()).isTrue();
         mTimers.advance(AUTHORITY.plusMillis(300));
         assertThat(isConfirmed()).isFalse();
     }
 
+    /**
+     * Guards against an owner that goes on by statements although entries may have registered
+     * between its last view of them and its claim.
+     */
+    @Test
+    void statementsDoNotCountBeforeTheStoreHasShownTheEntries() {
+        linkOtherEntry(() -> true);
+        mTimers.advance(AUTHORITY.plusMillis(10));
+        assertThat(isConfirmed()).isFalse();
+    }
+
     /** Guards against an owner that goes on after another entry has begun a later term. */
     @Test
     void ownerStopsWhenAnEntryNoLongerStatesThatItHasBegunNoTerm() {
         boolean[] answers = {true};
         linkOtherEntry(() -> answers[0]);
+        mOwnership.confirmByStore(Timestamp.now(mClock));
         mTimers.advance(Duration.ofSeconds(2));
         assertThat(isConfirmed()).isTrue();
         answers[0] = false;
@@ -301,6 +314,7 @@
     @Test
     void entryThatHasWithdrawnKeepsTheOwnerFromGoingOnOnlyOnceItIsLinkedAgain() {
         LinkListener link = linkOtherEntry(() -> false);
+        mOwnership.confirmByStore(Timestamp.now(mClock));
         link.received(new NodeMessage.Withdrawal());
         link.closed("stopped");
         mTimers.advance(Duration.ofSeconds(2));
