--- a/jobs/src/main/java/org/knapweedbank/jobs/DecisionLog.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/DecisionLog.java
@@ -19,4 +19,13 @@
      * @param fields names and values in alternation
      */
     void record(String event, Object subject, Object... fields);
+
+    /**
+     * Adds to a counter. The default discards the amount.
+     *
+     * @param counter name of the counter, in lower case with underscores and its unit
+     * @param label what is counted, from a small set of values
+     * @param amount amount to add
+     */
+    default void count(String counter, String label, long amount) {}
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
@@ -3,7 +3,7 @@
 import java.time.Duration;
 
 /**
- * Time limits of the job owner.
+ * Settings of the job owner.
  *
  * @param taskLease longest lease that an agent may grant to the runs on its VM, counted from the
  *     request that the owner answered
@@ -20,6 +20,7 @@
  * @param retention how long a finished job is kept
  * @param crossRackFactor factor by which a task takes longer away from the rack of its data or of
  *     the other tasks of its step
+ * @param scheduling settings of the optional parts of scheduling
  */
 public record OwnerSettings(
         Duration taskLease,
@@ -30,10 +31,35 @@
         Duration maxViewAge,
         Duration orderTimeout,
         Duration retention,
-        double crossRackFactor) {
+        double crossRackFactor,
+        SchedulingSettings scheduling) {
     /** Maximum rate error of a worker's clock, as a factor. */
     private static final double CLOCK_RATE_FACTOR = 1.02;
 
+    /** Creates settings with all optional parts of scheduling switched off. */
+    public OwnerSettings(
+            Duration taskLease,
+            Duration maxWorkerLease,
+            Duration renewalAuthority,
+            Duration maxStoreSilence,
+            Duration clockMargin,
+            Duration maxViewAge,
+            Duration orderTimeout,
+            Duration retention,
+            double crossRackFactor) {
+        this(
+                taskLease,
+                maxWorkerLease,
+                renewalAuthority,
+                maxStoreSilence,
+                clockMargin,
+                maxViewAge,
+                orderTimeout,
+                retention,
+                crossRackFactor,
+                SchedulingSettings.DISABLED);
+    }
+
     /**
      * Returns the time after the last answer to an agent at which the leases of all runs on its VM
      * have expired.
