Client: compare numbers of two documents by value

Cause: the parser of local files creates long and decimal nodes, and that of responses int and double nodes, which are never equal. diff therefore reported each number of the generation in force as a difference, such as '~ $.n: 1 -> 1'.

Change: DocumentDiff compares numbers by value.

--- a/tools/src/main/java/org/knapweedbank/tools/DocumentDiff.java
+++ b/tools/src/main/java/org/knapweedbank/tools/DocumentDiff.java
@@ -2,11 +2,24 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.TreeSet;
 
 /** Compares two configuration documents. */
 final class DocumentDiff {
+    /**
+     * Compares scalar values. Numbers are equal if their values are, as the parser of the files and
+     * that of the responses create different types of nodes for the same number.
+     */
+    private static final Comparator<JsonNode> VALUE_ORDER =
+            (left, right) -> {
+                if (left.isNumber() && right.isNumber()) {
+                    return left.decimalValue().compareTo(right.decimalValue());
+                }
+                return left.equals(right) ? 0 : 1;
+            };
+
     private DocumentDiff() {}
 
     /**
@@ -48,9 +61,13 @@
                     && beforeValue.isObject()
                     && afterValue.isObject()) {
                 collectDifferences(childPath, beforeValue, afterValue, differences);
-            } else if (beforeValue == null || !beforeValue.equals(afterValue)) {
+            } else if (beforeValue == null || !areEqual(beforeValue, afterValue)) {
                 differences.add(new Difference(childPath, beforeValue, afterValue));
             }
         }
     }
+
+    private static boolean areEqual(JsonNode before, JsonNode after) {
+        return after != null && before.equals(VALUE_ORDER, after);
+    }
 }
