Configuration: findings beyond errors and warnings

Cause: a configuration can be accepted although part of it can never apply or contradicts another part, such as a second spelling of a region, or a job whose tasks are larger than the quota of their team. Operators notice only when jobs wait.

Change: ConfigurationFindings returns the errors and warnings of the merge with text and place as before, and violations of ten rules on VM sizes, services, teams, jobs and spellings, as records of kind, path, place and text. No behaviour of daemons changes.

--- a/config/src/main/java/org/knapweedbank/config/ConfigurationChecker.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationChecker.java
@@ -49,7 +49,7 @@
                             if (earlierName != null) {
                                 mErrors.add(
                                         mLocations.errorAt(
-                                                entryPath(section, name),
+                                                JsonPaths.entry(section, name),
                                                 "a duplicate of " + earlierName,
                                                 "names that differ in more than case"));
                             }
@@ -66,7 +66,7 @@
     }
 
     private void checkJob(String name, JsonNode job, List<Resources> sizes) {
-        String path = entryPath("jobs", name);
+        String path = JsonPaths.entry("jobs", name);
         String team = job.path("team").asText();
         if (!mDocument.path("teams").has(team)) {
             mErrors.add(
@@ -83,7 +83,8 @@
         for (ServiceSettings service : ConfigurationBinder.toServices(mDocument)) {
             if (service.defaultDeadlineMillis() < service.objectiveMillis()) {
                 String message = "the default deadline is shorter than the latency objective";
-                String path = entryPath("services", service.name()) + ".defaultDeadlineMillis";
+                String path =
+                        JsonPaths.entry("services", service.name()) + ".defaultDeadlineMillis";
                 mWarnings.add(mLocations.warningAt(path, message));
             }
         }
@@ -95,8 +96,4 @@
         mDocument.path("teams").fieldNames().forEachRemaining(joiner::add);
         return joiner.toString();
     }
-
-    private static String entryPath(String section, String name) {
-        return JsonPaths.appendField(JsonPaths.appendField(JsonPaths.ROOT, section), name);
-    }
 }
--- a/config/src/main/java/org/knapweedbank/config/ConfigurationError.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationError.java
@@ -11,9 +11,17 @@
  */
 public record ConfigurationError(
         String file, int line, String path, String found, String accepted) {
+    /**
+     * Returns what was found and what is accepted.
+     *
+     * @return the description, without file, line and path
+     */
+    public String description() {
+        return "found " + found + "; accepted: " + accepted;
+    }
+
     @Override
     public String toString() {
-        String location = line == 0 ? file : file + ":" + line;
-        return location + ": " + path + ": found " + found + "; accepted: " + accepted;
+        return Finding.of(this).toString();
     }
 }
--- a/config/src/main/java/org/knapweedbank/config/ConfigurationWarning.java
+++ b/config/src/main/java/org/knapweedbank/config/ConfigurationWarning.java
@@ -11,7 +11,6 @@
 public record ConfigurationWarning(String file, int line, String path, String message) {
     @Override
     public String toString() {
-        String location = line == 0 ? file : file + ":" + line;
-        return location + ": " + path + ": warning: " + message;
+        return Finding.of(FindingKind.WARNING, this).toString();
     }
 }
--- a/config/src/main/java/org/knapweedbank/config/JsonPaths.java
+++ b/config/src/main/java/org/knapweedbank/config/JsonPaths.java
@@ -15,6 +15,11 @@
                 : parent + "['" + name.replace("'", "\\'") + "']";
     }
 
+    /** Returns the path of an entry of a named section, such as {@code $.teams.grants}. */
+    static String entry(String section, String name) {
+        return appendField(appendField(ROOT, section), name);
+    }
+
     static String appendIndex(String parent, int index) {
         return parent + "[" + index + "]";
     }
--- a/config/src/main/java/org/knapweedbank/config/SiteConfiguration.java
+++ b/config/src/main/java/org/knapweedbank/config/SiteConfiguration.java
@@ -46,6 +46,16 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
+    /**
+     * Returns the number of scheduling partitions of the site.
+     *
+     * @return the number of partitions, at least 1
+     */
+    public int partitionCount() {
+        long regions = dataCentres.stream().map(DataCentreSettings::region).distinct().count();
+        return (int) Math.max(1, regions) * partitionsPerRegion;
+    }
+
     /**
      * Finds a service by name.
      *
--- a/control/src/main/java/org/knapweedbank/control/PartitionController.java
+++ b/control/src/main/java/org/knapweedbank/control/PartitionController.java
@@ -9,7 +9,6 @@
 import org.knapweedbank.config.TeamSettings;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.JobSpec;
-import org.knapweedbank.model.Resources;
 import org.knapweedbank.model.VmId;
 import org.knapweedbank.scheduling.TaskScheduler;
 import org.knapweedbank.scheduling.TeamQuota;
@@ -98,10 +97,6 @@
         mDrain.drain();
     }
 
-    /**
-     * Divides the quotas of the teams equally among the partitions, since a hash distributes the
-     * VMs evenly.
-     */
     private static Map<String, TeamQuota> quotas(SiteConfiguration configuration) {
         int partitions = Partitions.count(configuration);
         Map<String, TeamQuota> quotas = new LinkedHashMap<>();
@@ -110,17 +105,7 @@
     }
 
     private static TeamQuota quota(TeamSettings team, int partitions) {
-        Resources deserved = team.deserved();
-        Resources share =
-                new Resources(
-                        divideUp(deserved.milliCpu(), partitions),
-                        divideUp(deserved.memoryMb(), partitions),
-                        (int) divideUp(deserved.accelerators(), partitions));
-        return new TeamQuota(share, team.weight(), team.priority());
-    }
-
-    private static long divideUp(long amount, int parts) {
-        return (amount + parts - 1) / parts;
+        return new TeamQuota(team.deservedPerPartition(partitions), team.weight(), team.priority());
     }
 
     /**
--- a/control/src/main/java/org/knapweedbank/control/Partitions.java
+++ b/control/src/main/java/org/knapweedbank/control/Partitions.java
@@ -23,7 +23,7 @@
      * @return the number of partitions, at least 1
      */
     public static int count(SiteConfiguration configuration) {
-        return Math.max(1, regions(configuration).size()) * configuration.partitionsPerRegion();
+        return configuration.partitionCount();
     }
 
     /**
