Client: command check

Cause: before a change operators ran validate and diff, which report neither entries that never match nor contradictions, and diff compares with a server only.

It shares LocalFiles, GenerationReader and DocumentDiff with validate and diff; the output of differences moves to Comparison, which diff uses too.

--- a/tools/src/main/java/org/knapweedbank/tools/ClientSettings.java
+++ b/tools/src/main/java/org/knapweedbank/tools/ClientSettings.java
@@ -77,6 +77,15 @@
         throw new UsageException("timeout: found " + text + "; accepted: 1 to 600 seconds");
     }
 
+    /** Returns the servers; throws an exception if there are none. */
+    List<ServerAddress> requireServers() throws UsageException {
+        if (servers.isEmpty()) {
+            throw new UsageException(
+                    "no server; accepted: --server HOST:PORT or a settings file with servers");
+        }
+        return servers;
+    }
+
     /**
      * Reads the bearer key from the key file; returns an empty string if no file is configured. In
      * a line {@code NAME:KEY}, as in the key file of the server, the key is the part after the
--- a/tools/src/main/java/org/knapweedbank/tools/Command.java
+++ b/tools/src/main/java/org/knapweedbank/tools/Command.java
@@ -1,5 +1,7 @@
 package org.knapweedbank.tools;
 
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.Options;
 
 /** A command of the command-line client. */
@@ -29,6 +31,12 @@
         return true;
     }
 
+    /** Returns the servers that the command sends requests to, in the order of preference. */
+    default List<ServerAddress> servers(CommandLine commandLine, ClientSettings settings)
+            throws UsageException {
+        return needsServer() ? settings.requireServers() : settings.servers();
+    }
+
     /** Runs the command and returns its exit code. */
     ExitCode run(Invocation invocation) throws UsageException;
 }
--- a/tools/src/main/java/org/knapweedbank/tools/CommandOptions.java
+++ b/tools/src/main/java/org/knapweedbank/tools/CommandOptions.java
@@ -16,6 +16,12 @@
                     "confirm-no-data-centre",
                     null,
                     "confirm that no data centre may be left in service");
+    static final Option AGAINST =
+            option(
+                    "against",
+                    "FILE|SERVER",
+                    "show the differences from a complete document or from the generation in force;"
+                            + " SERVER is HOST:PORT, or \"server\" for --server and the settings");
     static final Option LIMIT = option("limit", "COUNT", "number of records, 1 to 500; default 50");
     static final Option BEFORE =
             option("before", "GENERATION", "list only records of generations below this one");
--- a/tools/src/main/java/org/knapweedbank/tools/Commands.java
+++ b/tools/src/main/java/org/knapweedbank/tools/Commands.java
@@ -10,6 +10,7 @@
     static final List<Command> ALL =
             List.of(
                     new ValidateCommand(),
+                    new CheckCommand(),
                     new RenderCommand(),
                     new DiffCommand(),
                     new ApplyCommand(),
--- a/tools/src/main/java/org/knapweedbank/tools/DiffCommand.java
+++ b/tools/src/main/java/org/knapweedbank/tools/DiffCommand.java
@@ -1,9 +1,7 @@
 package org.knapweedbank.tools;
 
-import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.JsonNodeFactory;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.List;
 import org.knapweedbank.config.MergeResult;
 
 /** Command that shows the differences between local files and the generation in force. */
@@ -44,19 +42,16 @@
         if (!(result instanceof GenerationReader.Success current)) {
             return ((GenerationReader.Failure) result).code();
         }
-        List<DocumentDiff.Difference> differences =
-                DocumentDiff.compare(current.document(), merged.document());
+        Comparison comparison =
+                new Comparison.WithGeneration(
+                        current.generation(),
+                        DocumentDiff.compare(current.document(), merged.document()));
         if (output.isJson()) {
             ObjectNode resultNode = JsonNodeFactory.instance.objectNode();
-            resultNode.put("generation", current.generation());
-            ArrayNode differenceNodes = resultNode.putArray("differences");
-            differences.forEach(difference -> differenceNodes.addPOJO(difference));
+            comparison.addTo(resultNode);
             output.printJson(resultNode);
         } else {
-            output.printLine(
-                    "generation %d in force; %d differences"
-                            .formatted(current.generation(), differences.size()));
-            differences.forEach(difference -> output.printLine(difference.toString()));
+            comparison.print(output);
         }
         return ExitCode.DONE;
     }
--- a/tools/src/main/java/org/knapweedbank/tools/KnapweedbankClient.java
+++ b/tools/src/main/java/org/knapweedbank/tools/KnapweedbankClient.java
@@ -113,13 +113,9 @@
             throws UsageException {
         Output output = new Output(mOut, mErr, isJson(commandLine));
         ClientSettings settings = resolveSettings(commandLine);
-        if (command.needsServer() && settings.servers().isEmpty()) {
-            throw new UsageException(
-                    "no server; accepted: --server HOST:PORT or a settings file with servers");
-        }
+        List<ServerAddress> servers = command.servers(commandLine, settings);
         try (OperatorServer server =
-                new HttpOperatorServer(
-                        settings.servers(), settings.readKey(), settings.timeout())) {
+                new HttpOperatorServer(servers, settings.readKey(), settings.timeout())) {
             return command.run(
                     new Invocation(
                             commandLine,
--- a/tools/src/main/java/org/knapweedbank/tools/LocalFiles.java
+++ b/tools/src/main/java/org/knapweedbank/tools/LocalFiles.java
@@ -9,6 +9,7 @@
 import org.knapweedbank.config.ConfigurationMerger;
 import org.knapweedbank.config.ConfigurationParser;
 import org.knapweedbank.config.MergeResult;
+import org.knapweedbank.config.ParsedFile;
 
 /** Reads and merges local configuration files. */
 final class LocalFiles {
@@ -16,21 +17,26 @@
 
     /** Merges the base file with the optional overlay and prints errors and warnings. */
     static MergeResult readAndMerge(List<String> names, Output output) throws UsageException {
-        ConfigurationParser parser = new ConfigurationParser();
-        byte[] base = readFile(names.getFirst());
-        byte[] overlay = names.size() > 1 ? readFile(names.get(1)) : new byte[0];
-        MergeResult merged =
-                new ConfigurationMerger(parser)
-                        .merge(
-                                parser.parseBase(names.getFirst(), base),
-                                names.size() > 1
-                                        ? Optional.of(parser.parseOverlay(names.get(1), overlay))
-                                        : Optional.empty());
+        MergeResult merged = read(names).merged();
         merged.errors().forEach(error -> output.printMessage(error.toString()));
         merged.warnings().forEach(warning -> output.printMessage(warning.toString()));
         return merged;
     }
 
+    /** Reads the base file and the optional overlay and merges them. */
+    static LocalConfiguration read(List<String> names) throws UsageException {
+        ConfigurationParser parser = new ConfigurationParser();
+        byte[] baseBytes = readFile(names.getFirst());
+        byte[] overlayBytes = names.size() > 1 ? readFile(names.get(1)) : new byte[0];
+        ParsedFile base = parser.parseBase(names.getFirst(), baseBytes);
+        Optional<ParsedFile> overlay =
+                names.size() > 1
+                        ? Optional.of(parser.parseOverlay(names.get(1), overlayBytes))
+                        : Optional.empty();
+        MergeResult merged = new ConfigurationMerger(parser).merge(base, overlay);
+        return new LocalConfiguration(base, overlay, merged);
+    }
+
     static byte[] readFile(String name) throws UsageException {
         Path file = Path.of(name);
         try {
