Metrics: labelled counters and gauges of the decision log

Cause: decisions have amounts to report, such as waiting times by cause, and the metrics held only the number of log lines of each event.

--- a/jobs/src/main/java/org/knapweedbank/jobs/DecisionLog.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/DecisionLog.java
@@ -28,4 +28,14 @@
      * @param amount amount to add
      */
     default void count(String counter, String label, long amount) {}
+
+    /**
+     * Sets a gauge, which has to be repeated every few seconds to stay exposed. The default
+     * discards the value.
+     *
+     * @param name name of the gauge, in lower case with underscores and its unit
+     * @param label what is measured, from a small set of values
+     * @param value present value
+     */
+    default void gauge(String name, String label, long value) {}
 }
