Owner: waiting times by cause, errors of run times, use of the VMs

Cause: when callers complain that jobs are slow, nothing showed for all kinds of tasks how long they wait and what prevents their start; batch.progress covers jobs with fillers only.

Change: WaitingTimeRecorder counts once a second the waiting task-millis by queue priority and cause (task_wait_millis). VmUseLogger writes vms.use and the gauges vm_milli_cpu once a second. RunTracker counts run_time_error_millis, late or early. Occurrence.due replaces the private method of TaskPlacer, since both need it.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -213,6 +213,7 @@
             return;
         }
         double millis = run.fullSpeedMillis(mState.now());
+        countRunTimeError(step, millis);
         step.observeRunTime(millis);
         mState.mRunTimeEstimator.observe(
                 step.mJob.queue().key(),
@@ -221,6 +222,17 @@
                 1.0 / step.mSpec.count());
     }
 
+    /** Counts by how much a run took longer or shorter than was expected at its end. */
+    private void countRunTimeError(Step step, double millis) {
+        double expected = step.expectedRunMillis(mState.mRunTimeEstimator);
+        if (expected > 0) {
+            mState.mLog.count(
+                    "run_time_error_millis",
+                    millis > expected ? "late" : "early",
+                    Math.round(Math.abs(millis - expected)));
+        }
+    }
+
     private void applyEnd(Vm vm, Task task, EndedRun end) {
         switch (end.kind()) {
             case DONE -> handleDone(vm, task);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -41,6 +41,8 @@
     private final FillerMover mFillerMover;
     private final ServingConsolidator mConsolidator;
     private final BatchProgressLogger mProgressLogger;
+    private final WaitingTimeRecorder mWaitingTimes;
+    private final VmUseLogger mVmUseLogger;
 
     TaskPlacer(OwnerState state, RunTracker runTracker, VmTracker vmTracker) {
         mState = state;
@@ -49,11 +51,15 @@
         mFillerMover = new FillerMover(state, runTracker);
         mConsolidator = new ServingConsolidator(state, runTracker);
         mProgressLogger = new BatchProgressLogger(state);
+        mWaitingTimes = new WaitingTimeRecorder(state);
+        mVmUseLogger = new VmUseLogger(state);
     }
 
     /** Runs one round of placement. */
     void place() {
+        mVmUseLogger.logIfDue();
         if (!mayStart()) {
+            mWaitingTimes.recordIfDue(task -> PlacementLimit.NONE);
             return;
         }
         mFillerMover.startRound();
@@ -64,8 +70,7 @@
         }
         List<RankedJob> rankedJobs =
                 mState.unfinishedJobs().stream()
-                        .filter(Job::stored)
-                        .filter(job -> !(job.mLoadedFromStore && hasUnresolvedVms))
+                        .filter(job -> mayStart(job, hasUnresolvedVms))
                         .filter(job -> hasReadyTasks(job) || mFillerMover.hasStarved(job))
                         .map(job -> new RankedJob(job, mState.urgency(job)))
                         .sorted(Comparator.comparing(RankedJob::urgency))
@@ -79,6 +84,20 @@
                                 vmsByService.getOrDefault(
                                         ranked.job().queue().service(), List.of())));
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
+        mWaitingTimes.recordIfDue(
+                task -> findLimit(task, vmsByService, mayStart(task.mStep.mJob, hasUnresolvedVms)));
+    }
+
+    /** Returns what prevents the placement of a task, other than the owner itself. */
+    private PlacementLimit findLimit(
+            Task task, Map<String, List<Vm>> vmsByService, boolean mayStart) {
+        if (!mayStart) {
+            return PlacementLimit.NONE;
+        }
+        Job job = task.mStep.mJob;
+        List<Vm> vms = vmsByService.getOrDefault(job.queue().service(), List.of());
+        return VmSelector.findLimit(
+                task, vms, fillerRequirement(job, vms), mState.mPressureEstimator);
     }
 
     /** Places a job; a failure must not keep the other jobs from being placed. */
@@ -127,6 +146,11 @@
         return mState.ownershipConfirmed() && age <= mState.mSettings.maxViewAge().toMillis();
     }
 
+    /** Returns whether tasks of a job may start as far as the owner's knowledge of it goes. */
+    private static boolean mayStart(Job job, boolean hasUnresolvedVms) {
+        return job.stored() && !(job.mLoadedFromStore && hasUnresolvedVms);
+    }
+
     private static boolean hasReadyTasks(Job job) {
         return job.mOccurrences.stream()
                 .flatMap(o -> o.mSteps.stream())
@@ -139,20 +163,13 @@
         }
         updateLastActive(job);
         job.mOccurrences.stream()
-                .filter(o -> isDue(job, o))
+                .filter(o -> o.due(mState.mClock.wallTime()))
                 .flatMap(o -> o.mSteps.stream())
                 .filter(step -> step.mWaitingTasks > 0 && step.ready())
                 .forEach(step -> placeStep(step, vms));
         mFillerMover.move(job, vms);
     }
 
-    /** Returns whether an occurrence may start by the timetable of its job. */
-    private boolean isDue(Job job, Occurrence occurrence) {
-        var timetable = job.submission().timetable();
-        return !timetable.hasDueTimes()
-                || !mState.mClock.wallTime().isBefore(timetable.due(occurrence.mNumber));
-    }
-
     /** Returns whether a VM may get start orders now. */
     private boolean usable(Vm vm) {
         return vm.mConnected
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.JobQueue;
@@ -62,6 +63,9 @@
 
     final List<LogLine> mLog = new ArrayList<>();
 
+    /** Sums of the counters, and last values of the gauges, by name and label. */
+    final Map<String, Long> mCounts = new HashMap<>();
+
     /** Job whose start orders cause an exception; empty if there is none. */
     String mFailingJob = "";
 
@@ -93,7 +97,7 @@
         mClock = clock;
         mTerm = term;
         Takeover takeover = new Takeover(term, Timestamp.now(clock), knownToFormerOwner);
-        mOwner = new JobOwner(SETTINGS, clock, this, this::record, takeover, list);
+        mOwner = new JobOwner(SETTINGS, clock, this, new RecordingLog(), takeover, list);
         mOwner.configure(List.of(queue(2)));
         mOwner.markViewCurrent();
     }
@@ -162,12 +166,25 @@
         return ((SubmitResult.Known) result).job();
     }
 
-    private void record(String event, Object subject, Object... fields) {
-        Map<Object, Object> fieldsByName = new HashMap<>();
-        for (int i = 0; i < fields.length; i += 2) {
-            fieldsByName.put(fields[i], fields[i + 1]);
+    private final class RecordingLog implements DecisionLog {
+        @Override
+        public void record(String event, Object subject, Object... fields) {
+            Map<Object, Object> fieldsByName = new HashMap<>();
+            for (int i = 0; i < fields.length; i += 2) {
+                fieldsByName.put(fields[i], fields[i + 1]);
+            }
+            mLog.add(new LogLine(event, subject, fieldsByName));
+        }
+
+        @Override
+        public void count(String counter, String label, long amount) {
+            mCounts.merge(counter + " " + label, amount, Long::sum);
+        }
+
+        @Override
+        public void gauge(String name, String label, long value) {
+            mCounts.put(name + " " + label, value);
         }
-        mLog.add(new LogLine(event, subject, fieldsByName));
     }
 
     /** Returns the decision log lines of an event. */
