Admission: decision, rate and record of refused jobs

Cause: under overload every job is accepted, and callers wait for jobs that end after their late limit.

Change: package org.knapweedbank.jobs.admission decides about a submitted job from samples of the load of its pool (service and kind of work). A job is refused only if it would be late at each sample of the persistence time. Rates are measured while work waits. Refused jobs are recorded in a bounded Caffeine cache that follows the owner's clock; their work counts before later jobs and not before themselves. Not used yet.

--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
@@ -0,0 +1,126 @@
+package org.knapweedbank.jobs.admission;
+
+import com.github.benmanes.caffeine.cache.Ticker;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * Admission of jobs during one ownership term. Keeps the recent samples of each pool and the
+ * refused jobs that may come back.
+ *
+ * @param <U> type of the urgency
+ */
+public final class AdmissionController<U extends Urgency<U>> {
+    private final AdmissionSettings mSettings;
+    private final long mStartedAt;
+    private final Map<WorkPool, PoolHistory<U>> mPools = new HashMap<>();
+    private final RefusedJobs<U> mRefusedJobs;
+
+    /**
+     * Creates the controller for a new term.
+     *
+     * @param settings time limits
+     * @param startedAt monotonic time in milliseconds at which the term began
+     * @param ticker monotonic time in nanoseconds
+     */
+    public AdmissionController(AdmissionSettings settings, long startedAt, Ticker ticker) {
+        mSettings = settings;
+        mStartedAt = startedAt;
+        mRefusedJobs = new RefusedJobs<>(ticker);
+    }
+
+    /**
+     * Records the state of all pools; a pool that is missing has no work.
+     *
+     * @param now monotonic time in milliseconds
+     * @param samples states of the pools
+     */
+    public void sample(long now, Map<WorkPool, PoolSample<U>> samples) {
+        Set<WorkPool> pools = new HashSet<>(mPools.keySet());
+        pools.addAll(samples.keySet());
+        PoolSample<U> idle = new PoolSample<>(false, 0, List.of());
+        pools.forEach(pool -> history(pool).add(now, samples.getOrDefault(pool, idle)));
+    }
+
+    /** Handles a pause, during which no work was measured and nothing is known of the load. */
+    public void interrupt() {
+        mPools.values().forEach(PoolHistory::interrupt);
+    }
+
+    /**
+     * Decides about a submitted job that the owner does not know. An admitted job counts at once as
+     * work before later ones.
+     *
+     * @param demand what the job needs
+     * @param now monotonic time in milliseconds
+     * @return the decision
+     */
+    public AdmissionDecision decide(JobDemand<U> demand, long now) {
+        Optional<RefusedJob<U>> earlier = mRefusedJobs.find(demand.id());
+        AdmissionDecision decision =
+                earlier.filter(job -> isRepeat(job, now))
+                        .<AdmissionDecision>map(RefusedJob::refusal)
+                        .orElseGet(() -> judge(demand, earlier, now));
+        switch (decision) {
+            case AdmissionDecision.Admit admit -> {
+                mRefusedJobs.remove(demand.id());
+                history(demand.pool()).addAdmitted(now, demand.urgency(), demand.coreMillis());
+            }
+            case AdmissionDecision.Refuse refuse -> {
+                if (earlier.filter(job -> isRepeat(job, now)).isEmpty()) {
+                    record(demand, earlier, now, refuse);
+                }
+            }
+        }
+        return decision;
+    }
+
+    /**
+     * Returns whether a submission is a copy of a refused one, such as one through another entry,
+     * and no return after the retry time. It gets the same answer, so that no copy of a job runs
+     * while the refusal of another one is on its way.
+     */
+    private static boolean isRepeat(RefusedJob<?> earlier, long now) {
+        return Duration.ofMillis(now - earlier.refusedAt()).compareTo(AdmissionRule.MIN_RETRY_AFTER)
+                < 0;
+    }
+
+    private AdmissionDecision judge(
+            JobDemand<U> demand, Optional<RefusedJob<U>> earlier, long now) {
+        PoolHistory<U> history = history(demand.pool());
+        List<PoolLoad> loads = history.loads(now, demand.urgency());
+        if (now - mStartedAt < mSettings.warmUp().toMillis() || loads.isEmpty()) {
+            return new AdmissionDecision.Admit();
+        }
+        long firstRefusedAt = earlier.map(RefusedJob::firstRefusedAt).orElse(Long.MAX_VALUE);
+        double notQueued =
+                mRefusedJobs.workBefore(demand, firstRefusedAt)
+                        + history.expectedBefore(now, demand.urgency(), demand.limit().toMillis());
+        return AdmissionRule.decide(
+                demand, loads.stream().map(load -> load.plus(notQueued)).toList());
+    }
+
+    /** Records a refusal. A job that was refused before keeps its place in the order. */
+    private void record(
+            JobDemand<U> demand,
+            Optional<RefusedJob<U>> earlier,
+            long now,
+            AdmissionDecision.Refuse refusal) {
+        mRefusedJobs.put(
+                new RefusedJob<>(
+                        earlier.map(RefusedJob::demand).orElse(demand),
+                        earlier.map(RefusedJob::firstRefusedAt).orElse(now),
+                        now,
+                        refusal));
+    }
+
+    private PoolHistory<U> history(WorkPool pool) {
+        return mPools.computeIfAbsent(
+                pool, key -> new PoolHistory<>(mSettings.persistence().toMillis()));
+    }
+}
