Owner refuses jobs under overload if admission is enabled

Change: JobOwner.submit asks the AdmissionGate before it adds the job. Nothing is refused while the ownership is not confirmed, in the warm-up, for 2 s after a pause, or if the job has serving or long-running steps or due times. Log events admission.refused, admission.overloaded and admission.normal, counter admission_refused. Without the setting the gate is not created.

--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -0,0 +1,125 @@
+package org.knapweedbank.jobs.owner;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.knapweedbank.jobs.admission.AdmissionController;
+import org.knapweedbank.jobs.admission.AdmissionDecision;
+import org.knapweedbank.jobs.admission.AdmissionSettings;
+import org.knapweedbank.jobs.admission.JobDemand;
+import org.knapweedbank.jobs.admission.WorkKind;
+import org.knapweedbank.jobs.admission.WorkPool;
+import org.knapweedbank.time.Timestamp;
+
+/** Decides about new jobs from the state of the owner. */
+final class AdmissionGate {
+    /**
+     * Interval between two samples of the load, in milliseconds. A sample walks all unfinished jobs
+     * and all runs, which is too much for each round. Agents report progress as often.
+     */
+    private static final long SAMPLE_INTERVAL_MILLIS = 500;
+
+    /**
+     * Time between two rounds from which the owner counts as paused, in milliseconds. A round takes
+     * place at least every few hundred milliseconds.
+     */
+    private static final long MAX_ROUND_GAP_MILLIS = 1_000;
+
+    private final OwnerState mState;
+    private final WorkMeasurement mMeasurement;
+    private final AdmissionController<JobUrgency> mController;
+    private final QueueOverloads mOverloads;
+    private Timestamp mLastRound = Timestamp.NEVER;
+    private long mNextSampleAt;
+
+    AdmissionGate(OwnerState state, AdmissionSettings settings) {
+        mState = state;
+        mMeasurement = new WorkMeasurement(state);
+        mController =
+                new AdmissionController<>(
+                        settings, state.mTakenOverAt, state.mClock::monotonicNanos);
+        mOverloads = new QueueOverloads(state.mLog);
+        state.mOnTaskDone = mMeasurement::taskDone;
+    }
+
+    /**
+     * Samples the load after a round of placement, when all that could start has been started.
+     *
+     * @param mayStart whether tasks could be started in the round
+     * @param loadedJobsWait whether jobs of the former owner are not started yet
+     */
+    void roundEnded(boolean mayStart, boolean loadedJobsWait) {
+        boolean paused = mLastRound.ageMillis(mState.mClock) > MAX_ROUND_GAP_MILLIS;
+        mLastRound = Timestamp.now(mState.mClock);
+        if (paused || !mayStart) {
+            mMeasurement.take();
+            mController.interrupt();
+        } else if (mState.now() >= mNextSampleAt) {
+            mNextSampleAt = mState.now() + SAMPLE_INTERVAL_MILLIS;
+            WaitingWork waitingWork = new WaitingWork(mState, loadedJobsWait);
+            mController.sample(
+                    mState.now(), new LoadSampler(mState, waitingWork).sample(mMeasurement.take()));
+            mOverloads.update(mState.now());
+        }
+    }
+
+    /**
+     * Decides about a new job that the owner does not know.
+     *
+     * @return the refusal; empty if the job is admitted
+     */
+    Optional<SubmitResult.Refused> refusal(Job job) {
+        if (!isJudged(job)) {
+            return Optional.empty();
+        }
+        return switch (mController.decide(demand(job), mState.now())) {
+            case AdmissionDecision.Admit admit -> Optional.empty();
+            case AdmissionDecision.Refuse refuse -> Optional.of(refuse(job, refuse));
+        };
+    }
+
+    /**
+     * Returns whether a job may be refused. While a later owner may act, it may have accepted a job
+     * with the same identifier, so the refusal could be wrong; the write of an admitted job shows
+     * whether there is a later owner.
+     */
+    private boolean isJudged(Job job) {
+        return mState.ownershipConfirmed()
+                && !job.submission().timetable().hasDueTimes()
+                && JobWork.steps(job).allMatch(JobWork::isBatch);
+    }
+
+    private JobDemand<JobUrgency> demand(Job job) {
+        RunTimeEstimator estimator = mState.mRunTimeEstimator;
+        WorkKind kind = JobWork.mainKind(job, estimator);
+        Duration objective = JobUrgency.objective(job, estimator);
+        return new JobDemand<>(
+                job.id(),
+                new WorkPool(job.queue().service(), kind),
+                mState.urgency(job),
+                JobWork.total(job, kind, estimator),
+                JobUrgency.remainingCriticalPath(job, estimator),
+                objective,
+                objective.multipliedBy(JobUrgency.LATE_LIMIT_FACTOR));
+    }
+
+    private SubmitResult.Refused refuse(Job job, AdmissionDecision.Refuse refuse) {
+        mOverloads.refused(job.queue().key(), mState.now());
+        mState.mLog.record(
+                "admission.refused",
+                job.id().value(),
+                "queue",
+                job.queue().key().toString(),
+                "expected_end_ms",
+                refuse.expectedEnd().toMillis(),
+                "limit_ms",
+                refuse.limit().toMillis(),
+                "work_before_core_ms",
+                Math.round(refuse.workBefore()),
+                "rate_milli_cpu",
+                Math.round(refuse.rate() * 1_000),
+                "retry_after_ms",
+                refuse.retryAfter().toMillis());
+        mState.mLog.count("admission_refused", Integer.toString(job.queue().priority()), 1);
+        return new SubmitResult.Refused(refuse.reason(), refuse.retryAfter());
+    }
+}
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -23,6 +23,7 @@
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.jobs.admission.AdmissionSettings;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
@@ -40,6 +41,9 @@
     private final VmTracker mVmTracker;
     private final TaskPlacer mPlacer;
 
+    /** Decides about new jobs; empty if all are admitted. */
+    private final Optional<AdmissionGate> mAdmissionGate;
+
     /**
      * Creates the owner for a new term.
      *
@@ -61,6 +65,10 @@
         mRunTracker = new RunTracker(mState);
         mVmTracker = new VmTracker(mState, mRunTracker, list, takeover.knownToFormerOwner());
         mPlacer = new TaskPlacer(mState, mRunTracker, mVmTracker);
+        mAdmissionGate =
+                Optional.of(settings.scheduling().admission())
+                        .filter(AdmissionSettings::enabled)
+                        .map(admission -> new AdmissionGate(mState, admission));
     }
 
     /**
@@ -184,6 +192,10 @@
         }
         Instant accepted = mState.mClock.wallTime();
         Job job = new Job(submission, configured, accepted);
+        Optional<SubmitResult.Refused> refusal = mAdmissionGate.flatMap(gate -> gate.refusal(job));
+        if (refusal.isPresent()) {
+            return refusal.get();
+        }
         mState.addJob(job);
         mState.mLog.record(
                 "job.created",
@@ -367,6 +379,8 @@
     public void schedule() {
         mVmTracker.removeUnreachable();
         mPlacer.place();
+        mAdmissionGate.ifPresent(
+                gate -> gate.roundEnded(mPlacer.mayStart(), mVmTracker.hasUnresolvedVms()));
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
@@ -5,6 +5,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
+import org.knapweedbank.jobs.admission.Urgency;
 
 /**
  * Order in which jobs are placed: by the priority of their queues and, within a priority, by
@@ -22,12 +23,12 @@
  * @param valueDensity value of the job to its caller per unit of remaining work
  */
 record JobUrgency(int priority, int missedLimits, Instant deadline, double valueDensity)
-        implements Comparable<JobUrgency> {
+        implements Urgency<JobUrgency> {
     /**
      * Late limit as a multiple of the objective. A job that finishes within it is late but still
      * has some value.
      */
-    private static final int LATE_LIMIT_FACTOR = 3;
+    static final int LATE_LIMIT_FACTOR = 3;
 
     /** Share of its value that a job keeps, by the number of limits that it misses. */
     private static final double[] VALUE_FACTORS = {1, 0.2, 0.02};
@@ -99,7 +100,7 @@
     }
 
     /** Returns the longest critical path of the remaining work over all occurrences. */
-    private static Duration remainingCriticalPath(Job job, RunTimeEstimator runTimeEstimator) {
+    static Duration remainingCriticalPath(Job job, RunTimeEstimator runTimeEstimator) {
         return Duration.ofMillis(
                 (long)
                         job.mOccurrences.stream()
@@ -136,6 +137,12 @@
         return step.expectedRunMillis(runTimeEstimator) * step.maxRemainingShare();
     }
 
+    @Override
+    public boolean overtakes(JobUrgency earlier) {
+        return priority < earlier.priority
+                || priority == earlier.priority && valueDensity > earlier.valueDensity;
+    }
+
     @Override
     public int compareTo(JobUrgency other) {
         return ORDER.compare(this, other);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.QueueKey;
@@ -56,6 +57,9 @@
     /** VMs that have reported to this owner, by their agent. */
     final Map<DaemonId, Vm> mVms = new HashMap<>();
 
+    /** Receives each task of a batch step when it is done. */
+    Consumer<Task> mOnTaskDone = task -> {};
+
     Map<QueueKey, JobQueue> mQueues = Map.of();
     Set<DataCentreId> mEvacuatedDataCentres = Set.of();
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -237,6 +237,7 @@
             return;
         }
         task.mDone = true;
+        mState.mOnTaskDone.accept(task);
         step.mDoneTasks++;
         if (task.mRun == null) {
             step.mWaitingTasks--;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -26,6 +26,12 @@
      */
     long mEarliestStartAt;
 
+    /**
+     * Progress in percent up to which the task's work counts as measured; -1 before its first
+     * measurement.
+     */
+    int mMeasuredPercent = -1;
+
     /** Number of times that the task was stopped in order to run on another VM. */
     int mMoves;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -122,7 +122,7 @@
      * Returns whether the ownership and the view of the configuration are recent enough to start
      * tasks.
      */
-    private boolean mayStart() {
+    boolean mayStart() {
         long age = mState.mViewCurrentAt.ageMillis(mState.mClock);
         return mState.ownershipConfirmed() && age <= mState.mSettings.maxViewAge().toMillis();
     }
--- /dev/null
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingWork.java
@@ -0,0 +1,67 @@
+package org.knapweedbank.jobs.owner;
+
+import java.util.Collection;
+import java.util.List;
+import org.knapweedbank.jobs.PlacementRule;
+
+/** Tells whether work waits for processor time, and not for a rule, a pause or a record. */
+final class WaitingWork {
+    private final OwnerState mState;
+    private final boolean mLoadedJobsWait;
+
+    /**
+     * Creates the rule for one moment.
+     *
+     * @param loadedJobsWait whether jobs of the former owner are not started yet, since VMs on
+     *     which their tasks may run have not reported
+     */
+    WaitingWork(OwnerState state, boolean loadedJobsWait) {
+        mState = state;
+        mLoadedJobsWait = loadedJobsWait;
+    }
+
+    /** Returns whether the tasks of a step lack processor time or other resources. */
+    boolean waits(Step step) {
+        return step.mWaitingTasks > 0
+                && step.mJob.stored()
+                && !(mLoadedJobsWait && step.mJob.mLoadedFromStore)
+                && step.ready()
+                && hasStartableTask(step)
+                && canRun(step, mState.mVms.values());
+    }
+
+    /** Returns the steps that have a starved filler. */
+    List<Step> starvedSteps() {
+        return mState.mVms.values().stream()
+                .flatMap(vm -> vm.starvedFillers().stream())
+                .map(run -> run.mTask.mStep)
+                .distinct()
+                .toList();
+    }
+
+    /** Returns whether an occurrence may start by the timetable of its job. */
+    boolean isDue(Occurrence occurrence, Job job) {
+        var timetable = job.submission().timetable();
+        return !timetable.hasDueTimes()
+                || !mState.mClock.wallTime().isBefore(timetable.due(occurrence.mNumber));
+    }
+
+    private boolean hasStartableTask(Step step) {
+        return step.mTasks.stream()
+                .anyMatch(task -> task.waiting() && task.mEarliestStartAt <= mState.now());
+    }
+
+    /** Returns whether the rules of a step allow one more task on a VM that is large enough. */
+    private static boolean canRun(Step step, Collection<Vm> vms) {
+        PlacementRule rule = step.mSpec.placement();
+        String service = step.mJob.queue().service();
+        return vms.stream()
+                .filter(vm -> vm.mWorker != null && vm.mWorker.service().equals(service))
+                .filter(vm -> step.mSpec.reservation().fitsIn(vm.mWorker.capacity()))
+                .filter(
+                        vm ->
+                                rule.requiredLabel().isEmpty()
+                                        || vm.mWorker.labels().contains(rule.requiredLabel()))
+                .anyMatch(vm -> rule.maxPerVm() == 0 || vm.countRuns(step) < rule.maxPerVm());
+    }
+}
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.knapweedbank.jobs.AgentReport;
+import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.JobQueue;
@@ -26,6 +27,8 @@
 import org.knapweedbank.jobs.Timetable;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
+import org.knapweedbank.jobs.admission.AdmissionSettings;
+import org.knapweedbank.jobs.reservation.ReservationSettings;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.JobId;
@@ -62,6 +65,9 @@
 
     final List<LogLine> mLog = new ArrayList<>();
 
+    /** Amounts by counter and label. */
+    final Map<String, Long> mCounts = new HashMap<>();
+
     /** Job whose start orders cause an exception; empty if there is none. */
     String mFailingJob = "";
 
@@ -75,6 +81,7 @@
     private final Map<String, WorkerId> mReportedWorkers = new HashMap<>();
 
     private final Map<JobId, byte[]> mRecords = new HashMap<>();
+    private final OwnerSettings mSettings;
     private final long mTerm;
     private byte[] mListRecord = {};
     private long mRevision = 100;
@@ -90,14 +97,44 @@
     }
 
     OwnerFixture(ManualClock clock, long term, VmList list, boolean knownToFormerOwner) {
+        this(SETTINGS, clock, term, list, knownToFormerOwner);
+    }
+
+    OwnerFixture(
+            OwnerSettings settings,
+            ManualClock clock,
+            long term,
+            VmList list,
+            boolean knownToFormerOwner) {
+        mSettings = settings;
         mClock = clock;
         mTerm = term;
         Takeover takeover = new Takeover(term, Timestamp.now(clock), knownToFormerOwner);
-        mOwner = new JobOwner(SETTINGS, clock, this, this::record, takeover, list);
+        mOwner = new JobOwner(settings, clock, this, new RecordingLog(), takeover, list);
         mOwner.configure(List.of(queue(2)));
         mOwner.markViewCurrent();
     }
 
+    /** Returns an owner that refuses jobs under overload, with the default limits. */
+    static OwnerFixture withAdmission() {
+        AdmissionSettings off = AdmissionSettings.DISABLED;
+        AdmissionSettings on = new AdmissionSettings(true, off.warmUp(), off.persistence());
+        OwnerSettings settings =
+                new OwnerSettings(
+                        SETTINGS.taskLease(),
+                        SETTINGS.maxWorkerLease(),
+                        SETTINGS.renewalAuthority(),
+                        SETTINGS.maxStoreSilence(),
+                        SETTINGS.clockMargin(),
+                        SETTINGS.maxViewAge(),
+                        SETTINGS.orderTimeout(),
+                        SETTINGS.retention(),
+                        SETTINGS.crossRackFactor(),
+                        new SchedulingSettings(ReservationSettings.DISABLED, on));
+        ManualClock clock = new ManualClock(Instant.ofEpochSecond(1_000));
+        return new OwnerFixture(settings, clock, 1, new VmList(), true);
+    }
+
     /** Returns the owner of the next term, which has loaded what this owner has stored. */
     OwnerFixture createSuccessor() throws IOException {
         return createSuccessor(true);
@@ -110,7 +147,7 @@
 
     /** Returns the owner of the next term, which has read a given VM list. */
     OwnerFixture createSuccessor(VmList list, boolean known) throws IOException {
-        OwnerFixture successor = new OwnerFixture(mClock, mTerm + 1, list, known);
+        OwnerFixture successor = new OwnerFixture(mSettings, mClock, mTerm + 1, list, known);
         successor.mRevision = mRevision;
         successor.mListRecord = mListRecord;
         successor.mRecords.putAll(mRecords);
@@ -162,12 +199,27 @@
         return ((SubmitResult.Known) result).job();
     }
 
-    private void record(String event, Object subject, Object... fields) {
-        Map<Object, Object> fieldsByName = new HashMap<>();
-        for (int i = 0; i < fields.length; i += 2) {
-            fieldsByName.put(fields[i], fields[i + 1]);
+    /** Submits a job that may be refused. */
+    SubmitResult trySubmit(String id, StepSpec... steps) {
+        return mOwner.submit(
+                new JobSubmission(new JobId(id), "text", List.of(steps), Timetable.ONCE), QUEUE);
+    }
+
+    /** Log that keeps its lines and counts. */
+    private final class RecordingLog implements DecisionLog {
+        @Override
+        public void record(String event, Object subject, Object... fields) {
+            Map<Object, Object> fieldsByName = new HashMap<>();
+            for (int i = 0; i < fields.length; i += 2) {
+                fieldsByName.put(fields[i], fields[i + 1]);
+            }
+            mLog.add(new LogLine(event, subject, fieldsByName));
+        }
+
+        @Override
+        public void count(String counter, String label, long amount) {
+            mCounts.merge(counter + "/" + label, amount, Long::sum);
         }
-        mLog.add(new LogLine(event, subject, fieldsByName));
     }
 
     /** Returns the decision log lines of an event. */
