Merge admission under overload

A refusal for overload is sent only after the store has shown that no later term has begun: a repeat of a submission that a later owner has accepted, and whose answer was lost, must not be refused as not run. SubmitResult.Overloaded tells it apart from an unknown queue.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/SubmitResult.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/SubmitResult.java
@@ -18,4 +18,12 @@
      * @param retryAfter time after which the caller may retry
      */
     record Refused(String reason, Duration retryAfter) implements SubmitResult {}
+
+    /**
+     * The job was not admitted because of overload and is unknown to this owner.
+     *
+     * @param reason reason for the log and the caller
+     * @param retryAfter time after which the caller may retry
+     */
+    record Overloaded(String reason, Duration retryAfter) implements SubmitResult {}
 }
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -407,9 +407,32 @@
             case SubmitResult.Refused refused ->
                     done.accept(
                             new CallAnswer.Refused(refused.reason(), true, refused.retryAfter()));
+            case SubmitResult.Overloaded overloaded -> refuseUnlessSuperseded(overloaded, done);
         }
     }
 
+    /**
+     * Refuses a job once the store has shown that no later owner can have accepted it from an
+     * earlier try of the same submission.
+     */
+    private void refuseUnlessSuperseded(
+            SubmitResult.Overloaded overloaded, Consumer<CallAnswer> done) {
+        mTermCheck.request(
+                result ->
+                        done.accept(
+                                switch (result) {
+                                    case NEWEST ->
+                                            new CallAnswer.Refused(
+                                                    overloaded.reason(),
+                                                    true,
+                                                    overloaded.retryAfter());
+                                    case SUPERSEDED -> null;
+                                    case UNKNOWN ->
+                                            new CallAnswer.OutcomeUnknown(
+                                                    "the ownership is not confirmed");
+                                }));
+    }
+
     private void cancel(CallRequest.Cancel cancel, Consumer<CallAnswer> done) {
         Optional<Job> job = mOwner.find(cancel.job()).flatMap(found -> mOwner.cancel(found.id()));
         if (job.isEmpty()) {
