jobs: accuracy of expected run times per queue

It is fed where the run time estimator is, and only if reservations are enabled. The expected time is taken before the run itself is observed.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -44,6 +44,9 @@
     final PressureEstimator mPressureEstimator = new PressureEstimator();
     final RunTimeEstimator mRunTimeEstimator = new RunTimeEstimator();
 
+    /** Accuracy of the expected run times; only used for reservations. */
+    final RunTimeAccuracy mRunTimeAccuracy = new RunTimeAccuracy();
+
     /** All known jobs, in the order in which they were accepted or loaded. */
     private final Map<JobId, Job> mJobs = new LinkedHashMap<>();
 
@@ -91,6 +94,11 @@
         return mClock.monotonicMillis();
     }
 
+    /** Returns whether room on VMs is reserved for waiting tasks. */
+    boolean reservesRoom() {
+        return mSettings.scheduling().reservations().enabled();
+    }
+
     void addJob(Job job) {
         mJobs.put(job.id(), job);
         mUnfinishedJobs.add(job);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Run.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Run.java
@@ -95,9 +95,15 @@
      * @return milliseconds
      */
     double fullSpeedMillis(long now) {
-        double share =
-                mRequestedCoreMillis > 0 ? Math.min(1, mUsedCoreMillis / mRequestedCoreMillis) : 1;
-        return (now - mOrderedAt) * share;
+        return (now - mOrderedAt) * cpuShare();
+    }
+
+    /**
+     * Returns the share of its requested processor time that the run got so far; 1 before the first
+     * measurement.
+     */
+    double cpuShare() {
+        return mRequestedCoreMillis > 0 ? Math.min(1, mUsedCoreMillis / mRequestedCoreMillis) : 1;
     }
 
     /** Returns the processor use that the worker reported last, in thousandths of a core. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -213,6 +213,12 @@
             return;
         }
         double millis = run.fullSpeedMillis(mState.now());
+        if (mState.reservesRoom()) {
+            mState.mRunTimeAccuracy.observe(
+                    step.mJob.queue().key(),
+                    millis,
+                    step.expectedRunMillis(mState.mRunTimeEstimator));
+        }
         step.observeRunTime(millis);
         mState.mRunTimeEstimator.observe(
                 step.mJob.queue().key(),
