jobs: reserve room for waiting tasks in placement

VmSelector holds less urgent tasks back from the room (HELD). Only ends within the longest hold are considered in a plan, so a reservation whose VM has none drops with no_room now instead of expired.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlacementLimit.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlacementLimit.java
@@ -14,6 +14,9 @@
     /** The VM has too little available processor time for a filler. */
     SPARE_CPU,
 
+    /** The VM keeps the resources for a more urgent task. */
+    HELD,
+
     /** The reservation of the task does not fit. */
     RESERVATION,
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -41,6 +41,7 @@
     private final FillerMover mFillerMover;
     private final ServingConsolidator mConsolidator;
     private final BatchProgressLogger mProgressLogger;
+    private final RoomReserver mRoomReserver;
 
     TaskPlacer(OwnerState state, RunTracker runTracker, VmTracker vmTracker) {
         mState = state;
@@ -49,6 +50,7 @@
         mFillerMover = new FillerMover(state, runTracker);
         mConsolidator = new ServingConsolidator(state, runTracker);
         mProgressLogger = new BatchProgressLogger(state);
+        mRoomReserver = new RoomReserver(state);
     }
 
     /** Runs one round of placement. */
@@ -57,6 +59,7 @@
             return;
         }
         mFillerMover.startRound();
+        mRoomReserver.startRound();
         boolean hasUnresolvedVms = mVmTracker.hasUnresolvedVms();
         List<Vm> usable = mState.mVms.values().stream().filter(this::usable).toList();
         if (!hasUnresolvedVms) {
@@ -78,6 +81,7 @@
                                 ranked,
                                 vmsByService.getOrDefault(
                                         ranked.job().queue().service(), List.of())));
+        mRoomReserver.finishRound(usable);
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
     }
 
@@ -219,8 +223,10 @@
                             : VmSelector.select(
                                     task, vms, fillerRequirement, mState.mPressureEstimator);
             if (vm.isEmpty()) {
+                mRoomReserver.addWaiting(task, vms);
                 return;
             }
+            mRoomReserver.handleStart(task, vm.get());
             mRunTracker.start(task, vm.get());
             if (candidates != null) {
                 candidates.update(task, vm.get());
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -45,6 +45,9 @@
      */
     private final Map<Task, Long> mClaims = new HashMap<>();
 
+    /** Room that is kept for waiting tasks, in the order of their urgency. */
+    List<VmHold> mHolds = List.of();
+
     /** Ended runs that are not acknowledged yet, in the order of their numbers. */
     private final Deque<PendingEnd> mPendingEnds = new ArrayDeque<>();
 
@@ -149,6 +152,20 @@
                 .sum();
     }
 
+    /** Returns the resources that are claimed by tasks that move to this VM. */
+    Resources claimed() {
+        return mClaims.keySet().stream()
+                .map(task -> task.mStep.mSpec.reservation())
+                .reduce(Resources.NONE, Resources::plus);
+    }
+
+    /** Returns whether the VM keeps room for more urgent tasks that a task would take. */
+    boolean holdsRoomFromTask(Task task) {
+        return !mHolds.isEmpty()
+                && !hasClaimOf(task)
+                && mHolds.stream().anyMatch(hold -> hold.excludes(task));
+    }
+
     boolean hasWorker(WorkerId worker) {
         return mWorker != null && mWorker.id().equals(worker);
     }
@@ -159,6 +176,7 @@
         mListedInStore = false;
         mPendingEnds.clear();
         mClaims.clear();
+        mHolds = List.of();
         mUnwantedTasks.clear();
         mLastEndNumber = 0;
         mAcknowledgedEnd = 0;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -127,6 +127,9 @@
         if (!spec.reservation().fitsIn(vm.unreserved())) {
             return PlacementLimit.RESERVATION;
         }
+        if (vm.holdsRoomFromTask(task)) {
+            return PlacementLimit.HELD;
+        }
         if (!spec.traits().filler()) {
             return PlacementLimit.NONE;
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/Hold.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/Hold.java
@@ -20,10 +20,19 @@
      * @return true if it fits beside the reserved resources or ends early enough
      */
     public boolean admits(Resources room, long latestEnd) {
-        return latestEnd <= backfillEnd
-                || fits(room.milliCpu(), beside.milliCpu())
-                        && fits(room.memoryMb(), beside.memoryMb())
-                        && fits(room.accelerators(), beside.accelerators());
+        return fitsBeside(room) || latestEnd <= backfillEnd;
+    }
+
+    /**
+     * Returns whether a task fits beside the reserved resources, however long it runs.
+     *
+     * @param room resources that the task reserves
+     * @return true if it fits
+     */
+    public boolean fitsBeside(Resources room) {
+        return fits(room.milliCpu(), beside.milliCpu())
+                && fits(room.memoryMb(), beside.memoryMb())
+                && fits(room.accelerators(), beside.accelerators());
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/PlanRound.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/PlanRound.java
@@ -35,7 +35,10 @@
         mMaxDelayMillis = settings.maxDelay().toMillis();
         mMaxTasks = settings.maxTasks();
         mWaiting = input.waiting();
-        mTimelineList = input.vms().stream().map(vm -> new VmTimeline(vm, mNow)).toList();
+        mTimelineList =
+                input.vms().stream()
+                        .map(vm -> new VmTimeline(vm, mNow, mNow + mMaxHoldMillis))
+                        .toList();
         mTimelines =
                 mTimelineList.stream()
                         .collect(Collectors.toMap(t -> t.mVm.vm(), Function.identity()));
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/VmTimeline.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/VmTimeline.java
@@ -15,11 +15,17 @@
     private final List<EndingRun> mRuns;
     private Resources mAvailable;
 
-    VmTimeline(VmRoom vm, long now) {
+    /**
+     * Creates the timeline of a VM.
+     *
+     * @param horizon monotonic time in milliseconds up to which ends are considered
+     */
+    VmTimeline(VmRoom vm, long now, long horizon) {
         mVm = vm;
         mNow = now;
         mRuns =
                 vm.runs().stream()
+                        .filter(run -> run.expectedEndFrom(now) <= horizon)
                         .sorted(Comparator.comparingLong(run -> run.expectedEndFrom(now)))
                         .toList();
         mAvailable = vm.unreserved();
@@ -40,13 +46,17 @@
     }
 
     private long startAfter(List<EndingRun> runs, ToLongFunction<EndingRun> end, Resources room) {
-        Resources available = mAvailable;
-        if (room.fitsIn(available)) {
+        long milliCpu = mAvailable.milliCpu() - room.milliCpu();
+        long memoryMb = mAvailable.memoryMb() - room.memoryMb();
+        long accelerators = mAvailable.accelerators() - room.accelerators();
+        if (milliCpu >= 0 && memoryMb >= 0 && accelerators >= 0) {
             return mNow;
         }
         for (EndingRun run : runs) {
-            available = available.plus(run.room());
-            if (room.fitsIn(available)) {
+            milliCpu += run.room().milliCpu();
+            memoryMb += run.room().memoryMb();
+            accelerators += run.room().accelerators();
+            if (milliCpu >= 0 && memoryMb >= 0 && accelerators >= 0) {
                 return end.applyAsLong(run);
             }
         }
