--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
@@ -30,12 +30,6 @@
     /** Minimum time between two log lines about an unchanged reservation, in milliseconds. */
     private static final long KEPT_LOG_INTERVAL_MILLIS = 1_000;
 
-    /**
-     * Maximum number of steps that are examined for a plan, as a multiple of the tasks in it. Under
-     * overload hundreds of steps wait, most of them only for room that is held.
-     */
-    private static final int EXAMINED_PER_TASK = 2;
-
     private static final String COUNTER = "reservations";
 
     private final OwnerState mState;
@@ -57,7 +51,10 @@
     /** True if a plan is made at the end of this round. */
     private boolean mPlanning;
 
-    /** Number of steps that were examined in this round. */
+    /**
+     * Number of steps that were examined in this round. It is limited, as hundreds of steps wait
+     * under overload, most of them only for room that is held.
+     */
     private int mExaminedSteps;
 
     private long mNextPlanAt = Long.MIN_VALUE;
@@ -93,7 +90,7 @@
         int limit = mMaxTasks - mWaitingTasks.size();
         if (!mPlanning
                 || limit <= 0
-                || mExaminedSteps >= mMaxTasks * EXAMINED_PER_TASK
+                || mExaminedSteps >= mMaxTasks
                 || step.mSpec.traits().filler()) {
             return;
         }
