--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -214,6 +214,12 @@
         }
         double millis = run.fullSpeedMillis(mState.now());
         countRunTimeError(step, millis);
+        if (mState.reservesRoom()) {
+            mState.mRunTimeAccuracy.observe(
+                    step.mJob.queue().key(),
+                    millis,
+                    step.expectedRunMillis(mState.mRunTimeEstimator));
+        }
         step.observeRunTime(millis);
         mState.mRunTimeEstimator.observe(
                 step.mJob.queue().key(),
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -43,6 +43,7 @@
     private final BatchProgressLogger mProgressLogger;
     private final WaitingTimeRecorder mWaitingTimes;
     private final VmUseLogger mVmUseLogger;
+    private final RoomReserver mRoomReserver;
 
     TaskPlacer(OwnerState state, RunTracker runTracker, VmTracker vmTracker) {
         mState = state;
@@ -53,6 +54,7 @@
         mProgressLogger = new BatchProgressLogger(state);
         mWaitingTimes = new WaitingTimeRecorder(state);
         mVmUseLogger = new VmUseLogger(state);
+        mRoomReserver = new RoomReserver(state);
     }
 
     /** Runs one round of placement. */
@@ -63,6 +65,7 @@
             return;
         }
         mFillerMover.startRound();
+        mRoomReserver.startRound();
         boolean hasUnresolvedVms = mVmTracker.hasUnresolvedVms();
         List<Vm> usable = mState.mVms.values().stream().filter(this::usable).toList();
         if (!hasUnresolvedVms) {
@@ -83,6 +86,7 @@
                                 ranked,
                                 vmsByService.getOrDefault(
                                         ranked.job().queue().service(), List.of())));
+        mRoomReserver.finishRound(usable);
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
         mWaitingTimes.recordIfDue(
                 task -> findLimit(task, vmsByService, mayStart(task.mStep.mJob, hasUnresolvedVms)));
@@ -236,8 +240,10 @@
                             : VmSelector.select(
                                     task, vms, fillerRequirement, mState.mPressureEstimator);
             if (vm.isEmpty()) {
+                mRoomReserver.addWaiting(task, vms);
                 return;
             }
+            mRoomReserver.handleStart(task, vm.get());
             mRunTracker.start(task, vm.get());
             if (candidates != null) {
                 candidates.update(task, vm.get());
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -100,6 +100,26 @@
         this(SETTINGS, clock, term, list, knownToFormerOwner);
     }
 
+    /** Creates the first owner, with optional parts of scheduling. */
+    OwnerFixture(SchedulingSettings scheduling) {
+        this(
+                new OwnerSettings(
+                        SETTINGS.taskLease(),
+                        SETTINGS.maxWorkerLease(),
+                        SETTINGS.renewalAuthority(),
+                        SETTINGS.maxStoreSilence(),
+                        SETTINGS.clockMargin(),
+                        SETTINGS.maxViewAge(),
+                        SETTINGS.orderTimeout(),
+                        SETTINGS.retention(),
+                        SETTINGS.crossRackFactor(),
+                        scheduling),
+                new ManualClock(Instant.ofEpochSecond(1_000)),
+                1,
+                new VmList(),
+                true);
+    }
+
     OwnerFixture(
             OwnerSettings settings,
             ManualClock clock,
@@ -119,20 +139,7 @@
     static OwnerFixture withAdmission() {
         AdmissionSettings off = AdmissionSettings.DISABLED;
         AdmissionSettings on = new AdmissionSettings(true, off.warmUp(), off.persistence());
-        OwnerSettings settings =
-                new OwnerSettings(
-                        SETTINGS.taskLease(),
-                        SETTINGS.maxWorkerLease(),
-                        SETTINGS.renewalAuthority(),
-                        SETTINGS.maxStoreSilence(),
-                        SETTINGS.clockMargin(),
-                        SETTINGS.maxViewAge(),
-                        SETTINGS.orderTimeout(),
-                        SETTINGS.retention(),
-                        SETTINGS.crossRackFactor(),
-                        new SchedulingSettings(ReservationSettings.DISABLED, on));
-        ManualClock clock = new ManualClock(Instant.ofEpochSecond(1_000));
-        return new OwnerFixture(settings, clock, 1, new VmList(), true);
+        return new OwnerFixture(new SchedulingSettings(ReservationSettings.DISABLED, on));
     }
 
     /** Returns the owner of the next term, which has loaded what this owner has stored. */
@@ -193,9 +200,14 @@
 
     /** Submits a job to the only queue and returns it, not stored yet. */
     Job submit(String id, StepSpec... steps) {
+        return submit(id, QUEUE, steps);
+    }
+
+    /** Submits a job to a queue and returns it, not stored yet. */
+    Job submit(String id, QueueKey queue, StepSpec... steps) {
         JobSubmission submission =
                 new JobSubmission(new JobId(id), "text", List.of(steps), Timetable.ONCE);
-        SubmitResult result = mOwner.submit(submission, QUEUE);
+        SubmitResult result = mOwner.submit(submission, queue);
         return ((SubmitResult.Known) result).job();
     }
 
