Admission: count the work of short runs before their first sample

Cause: a task was measured from the progress at which a sample first saw it, also if this owner had started it. With reports and samples each 500 ms, what a run did between its start and the first sample was lost, so the rate of short tasks was too low and jobs were refused too early. Change: a task that this owner starts without a checkpoint is measured from 0. Runs of a former owner and loaded checkpoints count as before. Result: WorkMeasurementTest.progressBeforeTheFirstSampleCountsForRunsOfThisOwner failed before and passes.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -52,6 +52,9 @@
     void start(Task task, Vm vm) {
         long runNumber = Math.max(task.mLastRunNumber, (mState.mTerm - 1) * RUNS_PER_TERM) + 1;
         Run run = createRun(task, vm, runNumber);
+        if (task.mMeasuredPercent < 0 && task.mCheckpoint.isEmpty()) {
+            task.mMeasuredPercent = 0;
+        }
         mState.mLog.record(
                 "task.order",
                 task.mName,
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -27,8 +27,8 @@
     long mEarliestStartAt;
 
     /**
-     * Progress in percent up to which the task's work counts as measured; -1 before its first
-     * measurement.
+     * Progress in percent up to which the task's work counts as measured; -1 until the first
+     * measurement if the task may have made progress under a former owner.
      */
     int mMeasuredPercent = -1;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WorkMeasurement.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WorkMeasurement.java
@@ -6,8 +6,8 @@
 
 /**
  * Adds up the work that tasks complete, by pool. Work that is done again after a lost run counts
- * once. The progress that a run had made before it was first seen does not count, since it was made
- * at an unknown time.
+ * once. The progress that a run of a former owner, or a checkpoint of its time, had made before it
+ * was first seen does not count, since it was made at an unknown time.
  */
 final class WorkMeasurement {
     private static final int DONE_PERCENT = 100;
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
@@ -28,7 +28,7 @@
             new OwnerState(
                     OwnerFixture.SETTINGS,
                     mClock,
-                    null,
+                    new OwnerFixture(),
                     DecisionLog.NONE,
                     new Takeover(1, Timestamp.now(mClock), true));
     private final WorkMeasurement mMeasurement = new WorkMeasurement(mState);
@@ -75,6 +75,25 @@
         assertThat(mMeasurement.take()).isEqualTo(Map.of(POOL, 600.0));
     }
 
+    /** Guards against a rate that lacks what short runs do before the first sample sees them. */
+    @Test
+    void progressBeforeTheFirstSampleCountsForRunsOfThisOwner() {
+        mVm.mWorker = OwnerFixture.worker("a", 1, 4_000, false);
+        new RunTracker(mState).start(mTask, mVm);
+        mTask.mRun.mProgressPercent = 40;
+        assertThat(mMeasurement.take()).isEqualTo(Map.of(POOL, 800.0));
+    }
+
+    /** Guards against a rate that contains what a run did before its checkpoint was stored. */
+    @Test
+    void progressInALoadedCheckpointDoesNotCount() {
+        mVm.mWorker = OwnerFixture.worker("a", 1, 4_000, false);
+        mTask.mCheckpoint = "c";
+        new RunTracker(mState).start(mTask, mVm);
+        mTask.mRun.mProgressPercent = 40;
+        assertThat(mMeasurement.take()).isEmpty();
+    }
+
     /** Guards against serving tasks that count as work, as their progress is always 100%. */
     @Test
     void servingTasksDoNoMeasuredWork() {
