Admission: admit calls before the first round after a pause; survive a failed sample

Cause: after a pause of the owner, calls that were handled before the next round were judged by the samples from before the pause. An exception in a sample left JobOwner.schedule, so that the records of that round were not written. Change: while the last round is older than 1 s nothing is refused. An exception in a sample is logged as admission.sample_failed and the samples are dropped.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -48,20 +48,37 @@
      * @param loadedJobsWait whether jobs of the former owner are not started yet
      */
     void roundEnded(boolean mayStart, boolean loadedJobsWait) {
-        boolean paused = mLastRound.ageMillis(mState.mClock) > MAX_ROUND_GAP_MILLIS;
+        boolean paused = isPaused();
         mLastRound = Timestamp.now(mState.mClock);
         if (paused || !mayStart) {
             mMeasurement.take();
             mController.interrupt();
         } else if (mState.now() >= mNextSampleAt) {
             mNextSampleAt = mState.now() + SAMPLE_INTERVAL_MILLIS;
-            WaitingWork waitingWork = new WaitingWork(mState, loadedJobsWait);
-            mController.sample(
-                    mState.now(), new LoadSampler(mState, waitingWork).sample(mMeasurement.take()));
+            sampleSafely(new WaitingWork(mState, loadedJobsWait));
+        }
+    }
+
+    /**
+     * Samples the load; a failure must not keep the owner from writing the records of the round.
+     * The samples before it are dropped, since its work is unknown.
+     */
+    private void sampleSafely(WaitingWork waitingWork) {
+        try {
+            LoadSampler sampler = new LoadSampler(mState, waitingWork);
+            mController.sample(mState.now(), sampler.sample(mMeasurement.take()));
             mOverloads.update(mState.now());
+        } catch (RuntimeException e) {
+            mState.mLog.record("admission.sample_failed", "owner", "cause", e);
+            mController.interrupt();
         }
     }
 
+    /** Returns whether the last round is so long ago that the load may have changed since. */
+    private boolean isPaused() {
+        return mLastRound.ageMillis(mState.mClock) > MAX_ROUND_GAP_MILLIS;
+    }
+
     /**
      * Decides about a new job that the owner does not know.
      *
@@ -80,10 +97,12 @@
     /**
      * Returns whether a job may be refused. While a later owner may act, it may have accepted a job
      * with the same identifier, so the refusal could be wrong; the write of an admitted job shows
-     * whether there is a later owner.
+     * whether there is a later owner. After a pause, calls may come before the first round, when
+     * the samples are still those from before the pause.
      */
     private boolean isJudged(Job job) {
         return mState.ownershipConfirmed()
+                && !isPaused()
                 && !job.submission().timetable().hasDueTimes()
                 && JobWork.steps(job).allMatch(JobWork::isBatch);
     }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/AdmissionFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/AdmissionFailureTest.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
@@ -12,6 +13,8 @@
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.admission.AdmissionSettings;
+import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.time.Timestamp;
 
@@ -85,6 +88,33 @@
         assertThat(isRefused("c")).isTrue();
     }
 
+    /** Guards against refusals by the load from before a pause, in calls before the next round. */
+    @Test
+    void callsBeforeTheFirstRoundAfterAPauseAreAdmitted() {
+        overload();
+        mFixture.mClock.advance(Duration.ofMillis(1_001));
+        mFixture.mOwner.confirmByStore(Timestamp.now(mFixture.mClock));
+        assertThat(isRefused("a")).isFalse();
+    }
+
+    /** Guards against a fault in a sample that ends a round before its records are written. */
+    @Test
+    void failedSampleDoesNotEndTheRound() {
+        List<String> events = new ArrayList<>();
+        OwnerState state =
+                new OwnerState(
+                        OwnerFixture.SETTINGS,
+                        mFixture.mClock,
+                        mFixture,
+                        (event, subject, fields) -> events.add(event),
+                        new Takeover(1, Timestamp.now(mFixture.mClock), true));
+        AdmissionGate gate = new AdmissionGate(state, AdmissionSettings.DISABLED);
+        gate.roundEnded(true, false);
+        state.mVms.put(new DaemonId("broken"), null);
+        gate.roundEnded(true, false);
+        assertThat(events).containsExactly("admission.sample_failed");
+    }
+
     /** Guards against a refusal that needs the store, and one that leaves something to write. */
     @Test
     void refusalNeedsNoWrite() {
