Admission: no rate from rounding errors, no repeated arrivals, forget idle pools

Cause: (1) the running sum of the completed work kept a rounding error, which became a rate of about 1e-16 cores once no work was completed for 10 s of waiting; every job was then refused. (2) A job that was admitted, not stored and submitted again counted as an arrival each time, which led to refusals of less urgent jobs after an outage of the store. (3) The history of a pool was kept for ever, also for services that are no longer configured. Change: the sum is computed from the intervals; arrivals are kept by job; a pool is forgotten when nothing has waited for 60 s and nothing was admitted for 30 s. Result: a test in RateMeterTest and two in AdmissionControllerTest failed before and pass.

--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
@@ -35,7 +35,8 @@
     }
 
     /**
-     * Records the state of all pools; a pool that is missing has no work.
+     * Records the state of all pools; a pool that is missing has no work. Pools without recent work
+     * are forgotten, as their service may no longer be configured.
      *
      * @param now monotonic time in milliseconds
      * @param samples states of the pools
@@ -45,6 +46,12 @@
         pools.addAll(samples.keySet());
         PoolSample<U> idle = new PoolSample<>(false, 0, List.of());
         pools.forEach(pool -> history(pool).add(now, samples.getOrDefault(pool, idle)));
+        mPools.values().removeIf(history -> history.isIdle(now));
+    }
+
+    /** Returns the number of pools with recent work. */
+    int countPools() {
+        return mPools.size();
     }
 
     /** Handles a pause, during which no work was measured and nothing is known of the load. */
@@ -69,7 +76,7 @@
         switch (decision) {
             case AdmissionDecision.Admit admit -> {
                 mRefusedJobs.remove(demand.id());
-                history(demand.pool()).addAdmitted(now, demand.urgency(), demand.coreMillis());
+                history(demand.pool()).addAdmitted(now, demand);
             }
             case AdmissionDecision.Refuse refuse -> {
                 if (earlier.filter(job -> isRepeat(job, now)).isEmpty()) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/ArrivalMeter.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/ArrivalMeter.java
@@ -1,7 +1,9 @@
 package org.knapweedbank.jobs.admission;
 
-import java.util.ArrayDeque;
-import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.knapweedbank.model.JobId;
 
 /**
  * Measures at what rate jobs are admitted that overtake a given one. Under a lasting overload the
@@ -16,26 +18,36 @@
      */
     static final long WINDOW_MILLIS = AdmissionRule.MAX_RETRY_AFTER.toMillis();
 
-    private final Deque<Arrival<U>> mArrivals = new ArrayDeque<>();
+    /** Admitted jobs, the latest last. */
+    private final Map<JobId, Arrival<U>> mArrivals = new LinkedHashMap<>();
 
-    void add(long now, U urgency, double coreMillis) {
+    /** Adds a job. One that was not stored and is submitted again counts once. */
+    void add(long now, JobDemand<U> demand) {
         removeOld(now);
-        mArrivals.addLast(new Arrival<>(now, urgency, coreMillis));
+        mArrivals.remove(demand.id());
+        mArrivals.put(demand.id(), new Arrival<>(now, demand.urgency(), demand.coreMillis()));
     }
 
     /** Returns the rate in cores at which work arrives that overtakes a job. */
     double rateBefore(long now, U urgency) {
         removeOld(now);
-        return mArrivals.stream()
+        return mArrivals.values().stream()
                         .filter(arrival -> arrival.urgency().overtakes(urgency))
                         .mapToDouble(Arrival::coreMillis)
                         .sum()
                 / WINDOW_MILLIS;
     }
 
+    /** Returns whether no job has been admitted recently. */
+    boolean isEmpty(long now) {
+        removeOld(now);
+        return mArrivals.isEmpty();
+    }
+
     private void removeOld(long now) {
-        while (!mArrivals.isEmpty() && now - mArrivals.getFirst().at() > WINDOW_MILLIS) {
-            mArrivals.removeFirst();
+        Iterator<Arrival<U>> arrivals = mArrivals.values().iterator();
+        while (arrivals.hasNext() && now - arrivals.next().at() > WINDOW_MILLIS) {
+            arrivals.remove();
         }
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/PoolHistory.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/PoolHistory.java
@@ -41,9 +41,9 @@
         mAdmitted.clear();
     }
 
-    void addAdmitted(long now, U urgency, double coreMillis) {
-        mArrivals.add(now, urgency, coreMillis);
-        mAdmitted.add(new QueuedWork<>(urgency, coreMillis));
+    void addAdmitted(long now, JobDemand<U> demand) {
+        mArrivals.add(now, demand);
+        mAdmitted.add(new QueuedWork<>(demand.urgency(), demand.coreMillis()));
     }
 
     /** Forgets the samples before a pause; the measured rate is kept. */
@@ -85,6 +85,13 @@
         return mArrivals.rateBefore(now, urgency) * millis;
     }
 
+    /** Returns whether no job was admitted and no work waited for so long that nothing is known. */
+    boolean isIdle(long now) {
+        return mMeter.isEmpty(now)
+                && mArrivals.isEmpty(now)
+                && mEntries.stream().noneMatch(Entry::waiting);
+    }
+
     /** Keeps the samples of the persistence time and the one before them. */
     private void removeOld(long now) {
         while (mEntries.size() > 1 && now - second().at() >= mPersistenceMillis) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/RateMeter.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/RateMeter.java
@@ -26,7 +26,6 @@
 
     private final Deque<Interval> mIntervals = new ArrayDeque<>();
     private long mMillis;
-    private double mCoreMillis;
 
     /**
      * Adds an interval during which work waited.
@@ -38,7 +37,6 @@
     public void add(long endedAt, long millis, double coreMillis) {
         mIntervals.addLast(new Interval(endedAt, millis, coreMillis));
         mMillis += millis;
-        mCoreMillis += coreMillis;
         while (mMillis - mIntervals.getFirst().millis() >= WINDOW_MILLIS) {
             removeFirst();
         }
@@ -52,18 +50,28 @@
      *     no completed work was reported in it
      */
     public OptionalDouble rate(long now) {
+        removeOld(now);
+        // Added up anew, since the rounding error of a running sum would pass for a tiny rate.
+        double coreMillis = mIntervals.stream().mapToDouble(Interval::coreMillis).sum();
+        return mMillis >= MIN_WAITING_MILLIS && coreMillis > 0
+                ? OptionalDouble.of(coreMillis / mMillis)
+                : OptionalDouble.empty();
+    }
+
+    /** Returns whether no interval has been added recently. */
+    boolean isEmpty(long now) {
+        removeOld(now);
+        return mIntervals.isEmpty();
+    }
+
+    private void removeOld(long now) {
         while (!mIntervals.isEmpty() && now - mIntervals.getFirst().endedAt() > MAX_AGE_MILLIS) {
             removeFirst();
         }
-        return mMillis >= MIN_WAITING_MILLIS && mCoreMillis > 0
-                ? OptionalDouble.of(mCoreMillis / mMillis)
-                : OptionalDouble.empty();
     }
 
     private void removeFirst() {
-        Interval first = mIntervals.removeFirst();
-        mMillis -= first.millis();
-        mCoreMillis = mIntervals.isEmpty() ? 0 : mCoreMillis - first.coreMillis();
+        mMillis -= mIntervals.removeFirst().millis();
     }
 
     /** Time during which work waited, and the work completed in it. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/admission/AdmissionControllerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/admission/AdmissionControllerTest.java
@@ -151,6 +151,28 @@
         assertThat(submit("a", 1, 20)).isInstanceOf(AdmissionDecision.Admit.class);
     }
 
+    /** Guards against memory that is held for services that are no longer configured. */
+    @Test
+    void poolWithoutWorkIsForgotten() {
+        sample(20_000, 10, 120);
+        assertThat(submit("a", 1, 20)).isInstanceOf(AdmissionDecision.Refuse.class);
+        mController.sample(mNow += 500, Map.of());
+        assertThat(mController.countPools()).isEqualTo(1);
+        mController.sample(mNow += RateMeter.MAX_AGE_MILLIS, Map.of());
+        mController.sample(mNow += 2_500, Map.of());
+        assertThat(mController.countPools()).isEqualTo(0);
+    }
+
+    /** Guards against refusals after an outage of the store, in which callers submit again. */
+    @Test
+    void jobThatIsSubmittedAgainArrivesOnce() {
+        for (int i = 0; i < 30; i++) {
+            sample(1_000, 10, 50);
+            assertThat(admits("a", 1)).isTrue();
+        }
+        assertThat(admits("b", 2)).isTrue();
+    }
+
     /** Guards against recorded work of callers that do not return, and an unbounded record. */
     @Test
     void recordIsBoundedInTimeAndSize() {
--- a/jobs/src/test/java/org/knapweedbank/jobs/admission/RateMeterTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/admission/RateMeterTest.java
@@ -41,6 +41,19 @@
                 .isEqualTo(OptionalDouble.empty());
     }
 
+    /**
+     * Guards against the refusal of all jobs by a rate that is only a rounding error, after work of
+     * uneven amounts and then none.
+     */
+    @Test
+    void rateIsUnknownOnceEarlierProgressIsOutOfTheWindow() {
+        for (int i = 0; i < 40; i++) {
+            observe(1, (1 + i % 6) / 3.0);
+        }
+        observe(40, 0);
+        assertThat(mMeter.rate(mNow)).isEqualTo(OptionalDouble.empty());
+    }
+
     /** Guards against an infinite expected end while no progress is reported. */
     @Test
     void rateIsUnknownWithoutProgress() {
