Admission: add up the progress of runs by step

Cause: a sample looked up the pool and the expected run time for each run, which was half of its cost. Change: progress is summed for each step of the unfinished jobs and converted once; Step.remainingTasks uses a plain loop. Runs of cancelled jobs that are being stopped no longer count as completed work. WorkMeasurementTest adopts its runs through RunTracker, since it had set runs without the count of waiting tasks; its expected values are unchanged.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
@@ -72,7 +72,11 @@
         if (mWaitingTasks == mTasks.size()) {
             return mWaitingTasks;
         }
-        return mTasks.stream().filter(task -> !task.mDone).mapToDouble(Task::remainingShare).sum();
+        double remaining = 0;
+        for (Task task : mTasks) {
+            remaining += task.mDone ? 0 : task.remainingShare();
+        }
+        return remaining;
     }
 
     /** Returns the largest share of a task that is left, 0 if the step is complete. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WorkMeasurement.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WorkMeasurement.java
@@ -22,29 +22,57 @@
     /** Adds the rest of the work of a task that is done. */
     void taskDone(Task task) {
         task.mMeasuredPercent = Math.max(0, task.mMeasuredPercent);
-        addProgress(task, DONE_PERCENT);
+        if (JobWork.isBatch(task.mStep)) {
+            add(task.mStep, measureProgress(task, DONE_PERCENT));
+        }
     }
 
-    /** Adds the progress of all runs and returns the work since the previous call. */
+    /**
+     * Adds the progress of the runs of unfinished jobs and returns the work since the previous
+     * call.
+     */
     Map<WorkPool, Double> take() {
-        mState.mVms.values().stream()
-                .flatMap(vm -> vm.mRuns.values().stream())
-                .filter(run -> run.mProgressPercent > run.mTask.mMeasuredPercent)
-                .filter(run -> run.mTask.mRun == run && !run.mTask.mDone)
-                .forEach(run -> addProgress(run.mTask, run.mProgressPercent));
+        for (Job job : mState.unfinishedJobs()) {
+            for (Occurrence occurrence : job.mOccurrences) {
+                occurrence.mSteps.forEach(this::addProgress);
+            }
+        }
         Map<WorkPool, Double> work = mCoreMillis;
         mCoreMillis = new HashMap<>();
         return work;
     }
 
-    private void addProgress(Task task, int percent) {
-        if (task.mMeasuredPercent >= 0 && JobWork.isBatch(task.mStep)) {
-            double coreMillis =
-                    JobWork.taskCoreMillis(task.mStep, mState.mRunTimeEstimator)
-                            * (percent - task.mMeasuredPercent)
-                            / DONE_PERCENT;
-            mCoreMillis.merge(JobWork.pool(task.mStep), coreMillis, Double::sum);
+    /** Adds the progress of the runs of a step at once, as each sample walks all runs. */
+    private void addProgress(Step step) {
+        boolean started = step.mWaitingTasks < step.mTasks.size();
+        if (!started || step.complete() || !JobWork.isBatch(step)) {
+            return;
+        }
+        int percent = 0;
+        for (Task task : step.mTasks) {
+            if (task.mRun != null && !task.mDone) {
+                percent += measureProgress(task, task.mRun.mProgressPercent);
+            }
+        }
+        add(step, percent);
+    }
+
+    /** Records the progress of a task and returns the part of it that counts, in percent. */
+    private static int measureProgress(Task task, int percent) {
+        int measured = task.mMeasuredPercent;
+        if (percent <= measured) {
+            return 0;
         }
         task.mMeasuredPercent = percent;
+        return measured < 0 ? 0 : percent - measured;
+    }
+
+    /** Adds work of a step, in percent of one task. */
+    private void add(Step step, int percent) {
+        if (percent > 0) {
+            double coreMillis =
+                    JobWork.taskCoreMillis(step, mState.mRunTimeEstimator) * percent / DONE_PERCENT;
+            mCoreMillis.merge(JobWork.pool(step), coreMillis, Double::sum);
+        }
     }
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobSubmission;
@@ -31,6 +32,7 @@
                     new OwnerFixture(),
                     DecisionLog.NONE,
                     new Takeover(1, Timestamp.now(mClock), true));
+    private final RunTracker mRunTracker = new RunTracker(mState);
     private final WorkMeasurement mMeasurement = new WorkMeasurement(mState);
     private final Vm mVm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE);
     private final Task mTask = firstTask(OwnerFixture.step(1, 2_000, FILLER));
@@ -40,13 +42,14 @@
         JobSubmission submission =
                 new JobSubmission(new JobId("j"), "", List.of(step), Timetable.ONCE);
         Job job = new Job(submission, OwnerFixture.queue(2), mClock.wallTime());
+        mState.addJob(job);
         return job.tasks().findFirst().orElseThrow();
     }
 
     private void report(Task task, long runNumber, int percent) {
         if (task.mRun == null || task.mRun.mNumber != runNumber) {
-            task.mRun = new Run(task, mVm, runNumber, 0);
-            mVm.add(task.mRun);
+            Optional.ofNullable(task.mRun).ifPresent(mRunTracker::release);
+            mRunTracker.adopt(task, mVm, runNumber);
         }
         task.mRun.mProgressPercent = percent;
     }
@@ -79,7 +82,7 @@
     @Test
     void progressBeforeTheFirstSampleCountsForRunsOfThisOwner() {
         mVm.mWorker = OwnerFixture.worker("a", 1, 4_000, false);
-        new RunTracker(mState).start(mTask, mVm);
+        mRunTracker.start(mTask, mVm);
         mTask.mRun.mProgressPercent = 40;
         assertThat(mMeasurement.take()).isEqualTo(Map.of(POOL, 800.0));
     }
@@ -89,7 +92,7 @@
     void progressInALoadedCheckpointDoesNotCount() {
         mVm.mWorker = OwnerFixture.worker("a", 1, 4_000, false);
         mTask.mCheckpoint = "c";
-        new RunTracker(mState).start(mTask, mVm);
+        mRunTracker.start(mTask, mVm);
         mTask.mRun.mProgressPercent = 40;
         assertThat(mMeasurement.take()).isEmpty();
     }
