Admission: count jobs that are admitted after a pause as arrivals

Cause: skipped the decision for calls that come before the first round after a pause, so their jobs did not count as arrivals; OverloadRefusalTest of module node failed by it. Change: such a call drops the samples from before the pause and is then decided as usual. Result: OverloadRefusalTest and AdmissionFailureTest pass.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -88,6 +88,10 @@
         if (!isJudged(job)) {
             return Optional.empty();
         }
+        if (isPaused()) {
+            // Calls may be handled before the first round after a pause.
+            mController.interrupt();
+        }
         return switch (mController.decide(demand(job), mState.now())) {
             case AdmissionDecision.Admit admit -> Optional.empty();
             case AdmissionDecision.Refuse refuse -> Optional.of(refuse(job, refuse));
@@ -97,12 +101,10 @@
     /**
      * Returns whether a job may be refused. While a later owner may act, it may have accepted a job
      * with the same identifier, so the refusal could be wrong; the write of an admitted job shows
-     * whether there is a later owner. After a pause, calls may come before the first round, when
-     * the samples are still those from before the pause.
+     * whether there is a later owner.
      */
     private boolean isJudged(Job job) {
         return mState.ownershipConfirmed()
-                && !isPaused()
                 && !job.submission().timetable().hasDueTimes()
                 && JobWork.steps(job).allMatch(JobWork::isBatch);
     }
