Owner: no refusal after the end of the term or for a job admitted meanwhile

Cause: a refusal waits for a read of the store. If the term ended during the read, the entry sent the pending call to the next owner, which could accept it, and the refusal of the former term still answered the call. If a copy of the submission was admitted during the read, the first one was refused although the job runs. Change: after the read a call of an ended term is left to the next owner, and a job that the owner knows by then is answered as a known one.

--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -407,7 +407,7 @@
             case SubmitResult.Refused refused ->
                     done.accept(
                             new CallAnswer.Refused(refused.reason(), true, refused.retryAfter()));
-            case SubmitResult.Overloaded overloaded -> refuseUnlessSuperseded(overloaded, done);
+            case SubmitResult.Overloaded overloaded -> refuseAfterCheck(submit, overloaded, done);
         }
     }
 
@@ -415,22 +415,32 @@
      * Refuses a job once the store has shown that no later owner can have accepted it from an
      * earlier try of the same submission.
      */
-    private void refuseUnlessSuperseded(
-            SubmitResult.Overloaded overloaded, Consumer<CallAnswer> done) {
-        mTermCheck.request(
-                result ->
-                        done.accept(
-                                switch (result) {
-                                    case NEWEST ->
-                                            new CallAnswer.Refused(
-                                                    overloaded.reason(),
-                                                    true,
-                                                    overloaded.retryAfter());
-                                    case SUPERSEDED -> null;
-                                    case UNKNOWN ->
-                                            new CallAnswer.OutcomeUnknown(
-                                                    "the ownership is not confirmed");
-                                }));
+    private void refuseAfterCheck(
+            CallRequest.Submit submit,
+            SubmitResult.Overloaded overloaded,
+            Consumer<CallAnswer> done) {
+        mTermCheck.request(result -> answerAfterCheck(submit, overloaded, result, done));
+    }
+
+    /**
+     * Answers a submission that was not admitted before the check. Once the ownership has ended,
+     * the call may already be at the next owner. A copy of the submission may have been admitted
+     * during the check.
+     */
+    private void answerAfterCheck(
+            CallRequest.Submit submit,
+            SubmitResult.Overloaded overloaded,
+            TermCheck.Result result,
+            Consumer<CallAnswer> done) {
+        if (mStopped || result == TermCheck.Result.SUPERSEDED) {
+            done.accept(null);
+        } else if (mOwner.knows(submit.submission().id())) {
+            submit(submit, done);
+        } else if (result == TermCheck.Result.UNKNOWN) {
+            done.accept(new CallAnswer.OutcomeUnknown("the ownership is not confirmed"));
+        } else {
+            done.accept(new CallAnswer.Refused(overloaded.reason(), true, overloaded.retryAfter()));
+        }
     }
 
     private void cancel(CallRequest.Cancel cancel, Consumer<CallAnswer> done) {
--- a/node/src/test/java/org/knapweedbank/node/entry/OverloadRefusalTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OverloadRefusalTest.java
@@ -187,6 +187,31 @@
         assertThat(mAnswers).containsExactly((Object) null);
     }
 
+    /**
+     * Guards against a refusal of a job that the next owner has accepted: when an ownership ends,
+     * the entry sends its pending calls to the next owner, and the first answer counts.
+     */
+    @Test
+    void endedOwnershipDoesNotRefuse() {
+        overload();
+        mOwnership.call(submission("new"), mAnswers::add);
+        mOwnership.stop();
+        mTimers.advance(STEP);
+        assertThat(mAnswers).containsExactly((Object) null);
+    }
+
+    /** Guards against a refusal of a job that was admitted from a copy during the check. */
+    @Test
+    void jobAdmittedDuringTheCheckIsNotRefused() {
+        overload();
+        mOwnership.call(submission("new"), mAnswers::add);
+        mClock.advance(Duration.ofMillis(1_100));
+        mOwnership.call(submission("new"), mAnswers::add);
+        assertThat(mAnswers).isEmpty();
+        mTimers.advance(STEP);
+        assertThat(mAnswers).containsExactly(new CallAnswer.Accepted(), new CallAnswer.Accepted());
+    }
+
     /** Guards against a refusal that may be false while the store does not answer. */
     @Test
     void outcomeIsUnknownWithoutTheStore() {
