Settings: limit the persistence of admission to a minute

Cause: persistenceMillis was accepted up to 24 days. All samples of that time are kept with their lists of jobs, and each decision examines them, so the owner's memory and decisions grew without bound. Change: more than 60,000 ms is an error that names the path.

--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionSettings.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionSettings.java
@@ -11,6 +11,12 @@
  *     break before jobs are refused
  */
 public record AdmissionSettings(boolean enabled, Duration warmUp, Duration persistence) {
+    /**
+     * Longest persistence. The samples of that time are kept, each with the unfinished jobs; by
+     * calculation, those of a minute take tens of megabytes with 4,000 unfinished jobs.
+     */
+    public static final Duration MAX_PERSISTENCE = Duration.ofMinutes(1);
+
     /** All jobs are admitted; the other values are the defaults. */
     public static final AdmissionSettings DISABLED =
             new AdmissionSettings(false, Duration.ofSeconds(10), Duration.ofSeconds(2));
@@ -18,7 +24,7 @@
     /**
      * Checks the ranges.
      *
-     * @throws IllegalArgumentException if a duration is negative
+     * @throws IllegalArgumentException if a duration is negative or the persistence too long
      */
     public AdmissionSettings {
         if (warmUp.isNegative()) {
@@ -27,5 +33,8 @@
         if (persistence.isNegative()) {
             throw new IllegalArgumentException("persistence must not be negative: " + persistence);
         }
+        if (persistence.compareTo(MAX_PERSISTENCE) > 0) {
+            throw new IllegalArgumentException("persistence is too long: " + persistence);
+        }
     }
 }
