Known red: job is refused although idle VMs could run it

Cause: the rate of a pool is measured while any of its tasks waits. If only tasks wait that fit on few VMs, the rate is the demand of the pool, and jobs that the idle VMs could run are refused for as long as this lasts.

--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/AdmissionFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/AdmissionFailureTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.StepSpec;
@@ -165,6 +166,26 @@
         assertThat(isRefused("large")).isFalse();
     }
 
+    /**
+     * Guards against the refusal of a job that could start at once, because tasks wait that only
+     * fit on a large VM: the rate is then the demand and not the capacity of the other VMs.
+     */
+    @Tag("known-red")
+    @Test
+    void jobThatIdleVmsCanRunIsAdmitted() {
+        mFixture.addVm("large", 16_000);
+        StepSpec step = OwnerFixture.step(1, 10_000, StepTraits.BATCH);
+        for (int second = 0; second < 30; second++) {
+            for (int i = 0; i < 3; i++) {
+                mFixture.trySubmit(second + "-" + i, step);
+            }
+            mSimulation.advance(Duration.ofSeconds(1));
+            mFixture.answerAgent("large");
+        }
+        assertThat(mFixture.logLines("admission.refused")).isNotEmpty();
+        assertThat(isRefused("small")).isFalse();
+    }
+
     /** Guards against the refusal of serving tasks, long-running tasks and jobs with due times. */
     @Test
     void jobsWithoutALimitOfTheirOwnAreAdmitted() {
