Admission: plainer names and less repetition

Cause: a riddle in a comment, a constant without a reason, a decision that tested the same condition twice, the formula for the work of a task in two places, and three nested lambdas in WaitingTimeRecorder. Change: isRecentlyRefused, RETENTION_FACTOR and mRateMeter; JobUrgency uses JobWork.taskCoreMillis. No change in behaviour. Result: spotless, checkstyle and the tests of node and platform with their modules pass (without known-red).

--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
@@ -1,7 +1,6 @@
 package org.knapweedbank.jobs.admission;
 
 import com.github.benmanes.caffeine.cache.Ticker;
-import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -11,7 +10,7 @@
 
 /**
  * Admission of jobs during one ownership term. Keeps the recent samples of each pool and the
- * refused jobs that may come back.
+ * refused jobs that may be submitted again.
  *
  * @param <U> type of the urgency
  */
@@ -69,32 +68,28 @@
      */
     public AdmissionDecision decide(JobDemand<U> demand, long now) {
         Optional<RefusedJob<U>> earlier = mRefusedJobs.find(demand.id());
-        AdmissionDecision decision =
-                earlier.filter(job -> isRepeat(job, now))
-                        .<AdmissionDecision>map(RefusedJob::refusal)
-                        .orElseGet(() -> judge(demand, earlier, now));
+        if (earlier.isPresent() && isRecentlyRefused(earlier.get(), now)) {
+            return earlier.get().refusal();
+        }
+        AdmissionDecision decision = judge(demand, earlier, now);
         switch (decision) {
             case AdmissionDecision.Admit admit -> {
                 mRefusedJobs.remove(demand.id());
                 history(demand.pool()).addAdmitted(now, demand);
             }
-            case AdmissionDecision.Refuse refuse -> {
-                if (earlier.filter(job -> isRepeat(job, now)).isEmpty()) {
-                    record(demand, earlier, now, refuse);
-                }
-            }
+            case AdmissionDecision.Refuse refuse -> record(demand, earlier, now, refuse);
         }
         return decision;
     }
 
     /**
-     * Returns whether a submission is a copy of a refused one, such as one through another entry,
-     * and no return after the retry time. It gets the same answer, so that no copy of a job runs
-     * while the refusal of another one is on its way.
+     * Returns whether a job was refused so recently that its caller cannot have waited for the
+     * retry time. The submission is then a copy of the refused one, such as one through another
+     * entry, and gets the same answer, so that no copy of a job runs while the refusal of another
+     * one is on its way.
      */
-    private static boolean isRepeat(RefusedJob<?> earlier, long now) {
-        return Duration.ofMillis(now - earlier.refusedAt()).compareTo(AdmissionRule.MIN_RETRY_AFTER)
-                < 0;
+    private static boolean isRecentlyRefused(RefusedJob<?> job, long now) {
+        return now - job.refusedAt() < AdmissionRule.MIN_RETRY_AFTER.toMillis();
     }
 
     private AdmissionDecision judge(
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/PoolHistory.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/PoolHistory.java
@@ -14,9 +14,8 @@
  */
 final class PoolHistory<U extends Urgency<U>> {
     private final long mPersistenceMillis;
-    private final RateMeter mMeter = new RateMeter();
+    private final RateMeter mRateMeter = new RateMeter();
     private final Deque<Entry<U>> mEntries = new ArrayDeque<>();
-
     private final ArrivalMeter<U> mArrivals = new ArrivalMeter<>();
 
     /** Jobs admitted since the newest sample. */
@@ -29,13 +28,13 @@
     void add(long now, PoolSample<U> sample) {
         Entry<U> previous = mEntries.peekLast();
         if (previous != null && previous.waiting() && sample.waiting()) {
-            mMeter.add(now, now - previous.at(), sample.doneCoreMillis());
+            mRateMeter.add(now, now - previous.at(), sample.doneCoreMillis());
         }
         mEntries.addLast(
                 new Entry<>(
                         now,
                         sample.waiting(),
-                        mMeter.rate(now),
+                        mRateMeter.rate(now),
                         new Backlog<>(sample.waiting() ? sample.unfinished() : List.of())));
         removeOld(now);
         mAdmitted.clear();
@@ -87,7 +86,7 @@
 
     /** Returns whether no job was admitted and no work waited for so long that nothing is known. */
     boolean isIdle(long now) {
-        return mMeter.isEmpty(now)
+        return mRateMeter.isEmpty(now)
                 && mArrivals.isEmpty(now)
                 && mEntries.stream().noneMatch(Entry::waiting);
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/RefusedJob.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/RefusedJob.java
@@ -1,7 +1,7 @@
 package org.knapweedbank.jobs.admission;
 
 /**
- * A refused job that may come back.
+ * A refused job that may be submitted again.
  *
  * @param demand what the job needs
  * @param firstRefusedAt monotonic time of its first refusal in milliseconds
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/RefusedJobs.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/RefusedJobs.java
@@ -19,7 +19,11 @@
      */
     static final int MAX_JOBS = 1_000;
 
-    private static final int KEPT_RETRY_TIMES = 2;
+    /**
+     * Time for which a refused job is recorded, as a multiple of its retry time. Callers return
+     * only some time after it has passed.
+     */
+    private static final int RETENTION_FACTOR = 2;
 
     private final Cache<JobId, RefusedJob<U>> mJobs;
 
@@ -34,7 +38,7 @@
                                         (JobId id, RefusedJob<U> job) ->
                                                 job.refusal()
                                                         .retryAfter()
-                                                        .multipliedBy(KEPT_RETRY_TIMES)))
+                                                        .multipliedBy(RETENTION_FACTOR)))
                         .build();
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -14,7 +14,7 @@
 final class AdmissionGate {
     /**
      * Interval between two samples of the load, in milliseconds. A sample walks all unfinished jobs
-     * and all runs, which is too much for each round. Agents report progress as often.
+     * and all runs, which is too much for each round. Agents report progress at the same interval.
      */
     private static final long SAMPLE_INTERVAL_MILLIS = 500;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
@@ -79,9 +79,7 @@
                 .flatMap(occurrence -> occurrence.mSteps.stream())
                 .mapToDouble(
                         step ->
-                                step.expectedRunMillis(runTimeEstimator)
-                                        * step.mSpec.perTask().milliCpu()
-                                        / 1_000
+                                JobWork.taskCoreMillis(step, runTimeEstimator)
                                         * tasks.applyAsDouble(step))
                 .sum();
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
@@ -60,13 +60,13 @@
                 .collect(Collectors.groupingBy(step -> step.mJob.queue().priority()))
                 .forEach(
                         (priority, steps) ->
-                                countWaitingTasks(steps, stride, limits)
-                                        .forEach(
-                                                (cause, tasks) ->
-                                                        mState.mLog.count(
-                                                                COUNTER,
-                                                                priority + "/" + cause,
-                                                                tasks * millis)));
+                                count(priority, countWaitingTasks(steps, stride, limits), millis));
+    }
+
+    private void count(int priority, Map<String, Long> tasksByCause, long millis) {
+        tasksByCause.forEach(
+                (cause, tasks) ->
+                        mState.mLog.count(COUNTER, priority + "/" + cause, tasks * millis));
     }
 
     private List<Step> waitingSteps() {
