--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/PoolHistory.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/PoolHistory.java
@@ -14,9 +14,8 @@
  */
 final class PoolHistory<U extends Urgency<U>> {
     private final long mPersistenceMillis;
-    private final RateMeter mMeter = new RateMeter();
+    private final RateMeter mRateMeter = new RateMeter();
     private final Deque<Entry<U>> mEntries = new ArrayDeque<>();
-
     private final ArrivalMeter<U> mArrivals = new ArrivalMeter<>();
 
     /** Jobs admitted since the newest sample. */
@@ -29,21 +28,21 @@
     void add(long now, PoolSample<U> sample) {
         Entry<U> previous = mEntries.peekLast();
         if (previous != null && previous.waiting() && sample.waiting()) {
-            mMeter.add(now, now - previous.at(), sample.doneCoreMillis());
+            mRateMeter.add(now, now - previous.at(), sample.doneCoreMillis());
         }
         mEntries.addLast(
                 new Entry<>(
                         now,
                         sample.waiting(),
-                        mMeter.rate(now),
+                        mRateMeter.rate(now),
                         new Backlog<>(sample.waiting() ? sample.unfinished() : List.of())));
         removeOld(now);
         mAdmitted.clear();
     }
 
-    void addAdmitted(long now, U urgency, double coreMillis) {
-        mArrivals.add(now, urgency, coreMillis);
-        mAdmitted.add(new QueuedWork<>(urgency, coreMillis));
+    void addAdmitted(long now, JobDemand<U> demand) {
+        mArrivals.add(now, demand);
+        mAdmitted.add(new QueuedWork<>(demand.urgency(), demand.coreMillis()));
     }
 
     /** Forgets the samples before a pause; the measured rate is kept. */
@@ -85,6 +84,13 @@
         return mArrivals.rateBefore(now, urgency) * millis;
     }
 
+    /** Returns whether no job was admitted and no work waited for so long that nothing is known. */
+    boolean isIdle(long now) {
+        return mRateMeter.isEmpty(now)
+                && mArrivals.isEmpty(now)
+                && mEntries.stream().noneMatch(Entry::waiting);
+    }
+
     /** Keeps the samples of the persistence time and the one before them. */
     private void removeOld(long now) {
         while (mEntries.size() > 1 && now - second().at() >= mPersistenceMillis) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -14,7 +14,7 @@
 final class AdmissionGate {
     /**
      * Interval between two samples of the load, in milliseconds. A sample walks all unfinished jobs
-     * and all runs, which is too much for each round. Agents report progress as often.
+     * and all runs, which is too much for each round. Agents report progress at the same interval.
      */
     private static final long SAMPLE_INTERVAL_MILLIS = 500;
 
@@ -48,20 +48,37 @@
      * @param loadedJobsWait whether jobs of the former owner are not started yet
      */
     void roundEnded(boolean mayStart, boolean loadedJobsWait) {
-        boolean paused = mLastRound.ageMillis(mState.mClock) > MAX_ROUND_GAP_MILLIS;
+        boolean paused = isPaused();
         mLastRound = Timestamp.now(mState.mClock);
         if (paused || !mayStart) {
             mMeasurement.take();
             mController.interrupt();
         } else if (mState.now() >= mNextSampleAt) {
             mNextSampleAt = mState.now() + SAMPLE_INTERVAL_MILLIS;
-            WaitingWork waitingWork = new WaitingWork(mState, loadedJobsWait);
-            mController.sample(
-                    mState.now(), new LoadSampler(mState, waitingWork).sample(mMeasurement.take()));
+            sampleSafely(new WaitingWork(mState, loadedJobsWait));
+        }
+    }
+
+    /**
+     * Samples the load; a failure must not keep the owner from writing the records of the round.
+     * The samples before it are dropped, since its work is unknown.
+     */
+    private void sampleSafely(WaitingWork waitingWork) {
+        try {
+            LoadSampler sampler = new LoadSampler(mState, waitingWork);
+            mController.sample(mState.now(), sampler.sample(mMeasurement.take()));
             mOverloads.update(mState.now());
+        } catch (RuntimeException e) {
+            mState.mLog.record("admission.sample_failed", "owner", "cause", e);
+            mController.interrupt();
         }
     }
 
+    /** Returns whether the last round is so long ago that the load may have changed since. */
+    private boolean isPaused() {
+        return mLastRound.ageMillis(mState.mClock) > MAX_ROUND_GAP_MILLIS;
+    }
+
     /**
      * Decides about a new job that the owner does not know.
      *
@@ -71,6 +88,10 @@
         if (!isJudged(job)) {
             return Optional.empty();
         }
+        if (isPaused()) {
+            // Calls may be handled before the first round after a pause.
+            mController.interrupt();
+        }
         return switch (mController.decide(demand(job), mState.now())) {
             case AdmissionDecision.Admit admit -> Optional.empty();
             case AdmissionDecision.Refuse refuse -> Optional.of(refuse(job, refuse));
