Reservations: expected end not after the latest end

Cause: the expected run time is a mean. If 3 in 100 tasks take 7 times as long, the mean is above the 0.9 quantile of actual run times, so a run was expected to end after its latest end. The planner then compared the late expected end on one VM with the early latest end on another one, and moved reservations between VMs that are equally good.

--- a/jobs/src/test/java/org/knapweedbank/jobs/reservation/ReservationPlannerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/reservation/ReservationPlannerTest.java
@@ -117,6 +117,10 @@
                         "very late run",
                         input(List.of(vm("a", 8, 2, run(6, -900, -700))), one),
                         "a+700"),
+                Arguments.of(
+                        "mean above the quantile",
+                        input(List.of(vm("a", 8, 2, run(6, 1_000, 400))), one),
+                        "a+400"),
                 Arguments.of(
                         "perhaps earlier elsewhere",
                         input(List.of(a, b), one, previous("a", 100)),
