Reservations: no ratios of run times from adopted runs

Cause: the run time of an adopted run counts from the takeover, so the ratio of actual to expected run time was too small. Ten such runs sufficed to replace the default ratio of 2, and a new owner expected ends too early. Change: Run.mAdopted; RunTracker does not add such runs to RunTimeAccuracy. Run time estimates and the counter of their errors are unchanged.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Run.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Run.java
@@ -18,6 +18,9 @@
     /** True once the worker is known to have started the run. */
     boolean mStartConfirmed;
 
+    /** True if a former owner started the run, so that its run time is not known. */
+    boolean mAdopted;
+
     /** True once a stop order has been sent. */
     boolean mStopping;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -71,6 +71,7 @@
     /** Starts tracking a run that a worker lists and that this owner did not order. */
     Run adopt(Task task, Vm vm, long runNumber) {
         Run run = createRun(task, vm, runNumber);
+        run.mAdopted = true;
         mState.mLog.record("task.adopt", task.mName, "run", runNumber, "vm", vm.mAgent.value());
         return run;
     }
@@ -214,7 +215,7 @@
         }
         double millis = run.fullSpeedMillis(mState.now());
         countRunTimeError(step, millis);
-        if (mState.reservesRoom()) {
+        if (mState.reservesRoom() && !run.mAdopted) {
             mState.mRunTimeAccuracy.observe(
                     step.mJob.queue().key(),
                     millis,
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -103,17 +103,7 @@
     /** Creates the first owner, with optional parts of scheduling. */
     OwnerFixture(SchedulingSettings scheduling) {
         this(
-                new OwnerSettings(
-                        SETTINGS.taskLease(),
-                        SETTINGS.maxWorkerLease(),
-                        SETTINGS.renewalAuthority(),
-                        SETTINGS.maxStoreSilence(),
-                        SETTINGS.clockMargin(),
-                        SETTINGS.maxViewAge(),
-                        SETTINGS.orderTimeout(),
-                        SETTINGS.retention(),
-                        SETTINGS.crossRackFactor(),
-                        scheduling),
+                settings(scheduling),
                 new ManualClock(Instant.ofEpochSecond(1_000)),
                 1,
                 new VmList(),
@@ -135,6 +125,21 @@
         mOwner.markViewCurrent();
     }
 
+    /** Returns the usual settings, with optional parts of scheduling. */
+    static OwnerSettings settings(SchedulingSettings scheduling) {
+        return new OwnerSettings(
+                SETTINGS.taskLease(),
+                SETTINGS.maxWorkerLease(),
+                SETTINGS.renewalAuthority(),
+                SETTINGS.maxStoreSilence(),
+                SETTINGS.clockMargin(),
+                SETTINGS.maxViewAge(),
+                SETTINGS.orderTimeout(),
+                SETTINGS.retention(),
+                SETTINGS.crossRackFactor(),
+                scheduling);
+    }
+
     /** Returns an owner that refuses jobs under overload, with the default limits. */
     static OwnerFixture withAdmission() {
         AdmissionSettings off = AdmissionSettings.DISABLED;
