Reservations: VMs and steps that a plan considers

Causes and changes: - Without a waiting step, a plan got no VMs, and each dropped reservation was logged and counted as vm_unusable. VMs with reservations are always part of the plan. - The 80 VMs that lack the least could all be smaller than the task, and hide the VMs that are large enough. Only VMs that can hold a task of a waiting step count. - Steps in their pause counted towards the steps that a round examines, so that 16 of them kept all others from getting a reservation for 3 s.

Result: the two new tests of ReservationFailureTest and the assertion in cancelledTaskLosesItsReservation failed before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -48,16 +47,17 @@
                 runsByVm);
     }
 
-    /** Returns the VMs of the services of waiting steps, on which room may be reserved. */
+    /** Returns the VMs on which room may be reserved for waiting steps, and those with holds. */
     List<VmRoom> vms(Collection<Vm> vms, List<WaitingStep> steps) {
-        Set<String> services = steps.stream().map(WaitingStep::service).collect(Collectors.toSet());
         Resources largest =
                 new Resources(
                         max(steps, Resources::milliCpu),
                         max(steps, Resources::memoryMb),
                         (int) max(steps, Resources::accelerators));
         List<Vm> candidates =
-                vms.stream().filter(vm -> services.contains(vm.mWorker.service())).toList();
+                vms.stream()
+                        .filter(vm -> !vm.mHolds.isEmpty() || canHoldTaskOfAny(steps, vm))
+                        .toList();
         boolean anywhere = steps.stream().allMatch(step -> step.rule().requiredLabel().isEmpty());
         if (candidates.size() > MAX_VMS && anywhere) {
             candidates = nearest(candidates, largest);
@@ -65,6 +65,14 @@
         return candidates.stream().map(vm -> room(vm, largest)).toList();
     }
 
+    private static boolean canHoldTaskOfAny(List<WaitingStep> steps, Vm vm) {
+        return steps.stream()
+                .anyMatch(
+                        step ->
+                                step.service().equals(vm.mWorker.service())
+                                        && step.room().fitsIn(vm.mWorker.capacity()));
+    }
+
     /** Returns the VMs that lack the smallest shares, and those with a reservation. */
     private static List<Vm> nearest(List<Vm> vms, Resources room) {
         List<Vm> sorted =
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
@@ -94,8 +94,12 @@
                 || step.mSpec.traits().filler()) {
             return;
         }
+        boolean reserved = mHolds.keySet().stream().anyMatch(t -> t.mStep == step);
+        if (!reserved && mPausedUntil.getOrDefault(StepKey.of(task.mName), 0L) > mState.now()) {
+            return;
+        }
         mExaminedSteps++;
-        if (!lacksRoom(task, vms)) {
+        if (!lacksRoom(task, vms, reserved)) {
             return;
         }
         List<Task> tasks =
@@ -108,14 +112,10 @@
     }
 
     /**
-     * Returns whether a task needs a reservation and may have one: its resources are free nowhere
-     * or, if its step has a reservation already, only where they are kept for others.
+     * Returns whether a task needs a reservation: its resources are free nowhere or, if its step
+     * has a reservation already, only where they are kept for others.
      */
-    private boolean lacksRoom(Task task, List<Vm> vms) {
-        boolean reserved = mHolds.keySet().stream().anyMatch(t -> t.mStep == task.mStep);
-        if (!reserved && mPausedUntil.getOrDefault(StepKey.of(task.mName), 0L) > mState.now()) {
-            return false;
-        }
+    private boolean lacksRoom(Task task, List<Vm> vms, boolean reserved) {
         PlacementLimit limit =
                 VmSelector.findLimit(
                         task, vms, FillerRequirement.FULL_SPEED, mState.mPressureEstimator);
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/MixedLoad.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/MixedLoad.java
@@ -85,9 +85,14 @@
 
     /** Returns settings with reservations on or off. */
     static SchedulingSettings scheduling(boolean enabled) {
+        return scheduling(enabled, ReservationSettings.DISABLED.maxTasks());
+    }
+
+    /** Returns settings with reservations on or off, for a maximum number of tasks. */
+    static SchedulingSettings scheduling(boolean enabled, int maxTasks) {
         ReservationSettings off = ReservationSettings.DISABLED;
         return new SchedulingSettings(
-                new ReservationSettings(enabled, off.maxTasks(), off.maxHold(), off.maxDelay()),
+                new ReservationSettings(enabled, maxTasks, off.maxHold(), off.maxDelay()),
                 AdmissionSettings.DISABLED);
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -63,6 +64,10 @@
         return mFixture.mStarts.stream().map(order -> order.mTask().job().value()).toList();
     }
 
+    private OwnerFixture.LogLine lastReservation() {
+        return mFixture.logLines("reservation.made").getLast();
+    }
+
     private Object lastDropReason() {
         return mFixture.logLines("reservation.dropped").getLast().mFields().get("reason");
     }
@@ -112,13 +117,46 @@
         assertThat(started()).contains("urgent");
     }
 
-    /** Guards against room that stays reserved for a task that will never start. */
+    /**
+     * Guards against room that stays reserved for a task that will never start, and against a log
+     * that blames the VM for it.
+     */
     @Test
     void cancelledTaskLosesItsReservation() {
         reserveAndFreeHalf();
         mFixture.mOwner.cancel(new JobId("large"));
         mFixture.storeAndSchedule();
         assertThat(started()).contains("small");
+        mFixture.advanceTime(Duration.ofMillis(60), "a");
+        assertThat(lastDropReason()).isEqualTo("not_waiting");
+    }
+
+    /** Guards against a paused step that keeps other steps from getting a reservation. */
+    @Test
+    void pausedStepLeavesReservationsToOthers() {
+        mFixture = new OwnerFixture(MixedLoad.scheduling(true, 1));
+        mFixture.mOwner.configure(MixedLoad.queues());
+        reserveAndFreeHalf();
+        while (mFixture.logLines("reservation.dropped").isEmpty()) {
+            mFixture.advanceTime(HALF_SECOND, "a");
+        }
+        assertThat(lastDropReason()).isEqualTo("expired");
+        mFixture.submit("other", MixedLoad.SMALL, OwnerFixture.step(1, 8_000, StepTraits.BATCH));
+        mFixture.storeAndSchedule();
+        mFixture.advanceTime(Duration.ofMillis(60), "a");
+        assertThat(lastReservation().mSubject().toString()).startsWith("other");
+    }
+
+    /** Guards against many VMs that are too small and hide the only one that is large enough. */
+    @Test
+    void smallVmsDoNotHideLargeOne() {
+        mFixture.addVm("large-vm", 16_000);
+        mFixture.submit("busy", OwnerFixture.step(2, 8_000, StepTraits.BATCH));
+        mFixture.storeAndSchedule();
+        IntStream.range(0, 100).forEach(i -> mFixture.addVm("vm" + i, 8_000));
+        mFixture.submit("large", OwnerFixture.step(1, 12_000, StepTraits.BATCH));
+        mFixture.storeAndSchedule();
+        assertThat(lastReservation().mFields().get("vm")).isEqualTo("large-vm");
     }
 
     /** Guards against an owner that acts on a plan from before it was paused. */
@@ -160,7 +198,7 @@
                         mFixture.logLines("reservation.dropped").stream()
                                 .map(line -> line.mFields().get("reason")))
                 .contains("vm_unusable");
-        Object vm = mFixture.logLines("reservation.made").getLast().mFields().get("vm");
+        Object vm = lastReservation().mFields().get("vm");
         assertThat(vm).isEqualTo(otherUsable ? "b" : "a");
     }
 
