Reservations: cheaper plans

It described the runs of up to 80 VMs, and computed the expected end of each run in each comparison while sorting. Outside plans, a check of a task against a hold looked up urgencies and the clock before it compared resources. Change: at most 32 VMs without reservations, twice the default number of tasks; each end is computed once; the distance of a VM is computed once per plan; ties are decided by agent, as for placement; a hold compares resources first. startRound drops outdated holds before any task is placed, so the hold does not check its age again. Not done: a plan every 100 ms.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
@@ -1,7 +1,6 @@
 package org.knapweedbank.jobs.owner;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.function.ToLongFunction;
@@ -17,10 +16,11 @@
 /** Describes VMs and waiting tasks for the planning of reservations. */
 final class PlanInputs {
     /**
-     * Maximum number of VMs without reservations in a plan, which bounds its cost. A VM that lacks
-     * much of its capacity seldom has the room first.
+     * Maximum number of VMs without reservations in a plan, which bounds its cost: twice the
+     * default number of tasks in a plan. A VM that lacks much of its capacity seldom has the room
+     * first.
      */
-    private static final int MAX_VMS = 80;
+    private static final int MAX_VMS = 32;
 
     private final RunEndEstimator mEnds;
 
@@ -77,7 +77,9 @@
     private static List<Vm> nearest(List<Vm> vms, Resources room) {
         List<Vm> sorted =
                 vms.stream()
-                        .sorted(Comparator.comparingDouble(vm -> lackingShare(vm, room)))
+                        .map(vm -> new ScoredVm(vm, lackingShare(vm, room)))
+                        .sorted()
+                        .map(ScoredVm::vm)
                         .toList();
         return Stream.concat(
                         sorted.stream().limit(MAX_VMS),
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
@@ -57,10 +57,8 @@
         return job != otherJob
                 && mTask.waiting()
                 && !job.finished()
-                && !outdated()
-                && mState.urgency(job).compareTo(mState.urgency(otherJob)) < 0
-                && !mHold.fitsBeside(task.mStep.mSpec.reservation())
-                && !mHold.admits(task.mStep.mSpec.reservation(), latestEnd(task));
+                && !mHold.admits(task.mStep.mSpec.reservation(), () -> latestEnd(task))
+                && mState.urgency(job).compareTo(mState.urgency(otherJob)) < 0;
     }
 
     /** Takes the start of a task on the VM into account that does not use this reservation. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/Hold.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/Hold.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.reservation;
 
+import java.util.function.LongSupplier;
 import org.knapweedbank.model.Resources;
 
 /**
@@ -15,21 +16,15 @@
      *
      * @param room resources that the task reserves; only those count, so a task that reserves no
      *     processor time is not held back by it
-     * @param latestEnd time by which the task will very likely have ended, in monotonic
-     *     milliseconds; {@code Long.MAX_VALUE} if it runs until it is stopped
+     * @param latestEnd computes the time by which the task will very likely have ended, in
+     *     monotonic milliseconds; {@code Long.MAX_VALUE} if it runs until it is stopped
      * @return true if it fits beside the reserved resources or ends early enough
      */
-    public boolean admits(Resources room, long latestEnd) {
-        return fitsBeside(room) || latestEnd <= backfillEnd;
+    public boolean admits(Resources room, LongSupplier latestEnd) {
+        return fitsBeside(room) || latestEnd.getAsLong() <= backfillEnd;
     }
 
-    /**
-     * Returns whether a task fits beside the reserved resources, however long it runs.
-     *
-     * @param room resources that the task reserves
-     * @return true if it fits
-     */
-    public boolean fitsBeside(Resources room) {
+    private boolean fitsBeside(Resources room) {
         return fits(room.milliCpu(), beside.milliCpu())
                 && fits(room.memoryMb(), beside.memoryMb())
                 && fits(room.accelerators(), beside.accelerators());
@@ -39,7 +34,7 @@
      * Returns the hold after a task has started on the VM without using the reservation.
      *
      * @param room resources that the task reserves
-     * @param latestEnd as for {@link #admits}
+     * @param latestEnd time by which the task will very likely have ended, as for {@link #admits}
      * @return the hold, with less room beside the reservation unless the task ends early enough
      */
     public Hold afterStart(Resources room, long latestEnd) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/VmTimeline.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/VmTimeline.java
@@ -1,5 +1,6 @@
 package org.knapweedbank.jobs.reservation;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
 import java.util.function.ToLongFunction;
@@ -12,7 +13,11 @@
 
     final VmRoom mVm;
     private final long mNow;
-    private final List<EndingRun> mRuns;
+    private final long mHorizon;
+
+    /** Expected ends up to the horizon, in order of time. */
+    private final List<RoomRelease> mExpectedEnds;
+
     private Resources mAvailable;
 
     /**
@@ -23,41 +28,46 @@
     VmTimeline(VmRoom vm, long now, long horizon) {
         mVm = vm;
         mNow = now;
-        mRuns =
-                vm.runs().stream()
-                        .filter(run -> run.expectedEndFrom(now) <= horizon)
-                        .sorted(Comparator.comparingLong(run -> run.expectedEndFrom(now)))
-                        .toList();
+        mHorizon = horizon;
+        mExpectedEnds = releases(run -> run.expectedEndFrom(now));
         mAvailable = vm.unreserved();
     }
 
     /** Returns when the resources are expected to be free, {@link #NEVER} if they are not. */
     long earliestStart(Resources room) {
-        return startAfter(mRuns, run -> run.expectedEndFrom(mNow), room);
+        return startAfter(mExpectedEnds, room);
     }
 
     /** Returns when the resources are very likely free, {@link #NEVER} if they are not. */
     long latestStart(Resources room) {
-        List<EndingRun> runs =
-                mRuns.stream()
-                        .sorted(Comparator.comparingLong(run -> run.latestEndFrom(mNow)))
-                        .toList();
-        return startAfter(runs, run -> run.latestEndFrom(mNow), room);
+        return startAfter(releases(run -> run.latestEndFrom(mNow)), room);
     }
 
-    private long startAfter(List<EndingRun> runs, ToLongFunction<EndingRun> end, Resources room) {
+    private List<RoomRelease> releases(ToLongFunction<EndingRun> endOf) {
+        List<RoomRelease> releases = new ArrayList<>(mVm.runs().size());
+        for (EndingRun run : mVm.runs()) {
+            long at = endOf.applyAsLong(run);
+            if (at <= mHorizon) {
+                releases.add(new RoomRelease(at, run.room()));
+            }
+        }
+        releases.sort(Comparator.comparingLong(RoomRelease::at));
+        return releases;
+    }
+
+    private long startAfter(List<RoomRelease> releases, Resources room) {
         long milliCpu = mAvailable.milliCpu() - room.milliCpu();
         long memoryMb = mAvailable.memoryMb() - room.memoryMb();
         long accelerators = mAvailable.accelerators() - room.accelerators();
         if (milliCpu >= 0 && memoryMb >= 0 && accelerators >= 0) {
             return mNow;
         }
-        for (EndingRun run : runs) {
-            milliCpu += run.room().milliCpu();
-            memoryMb += run.room().memoryMb();
-            accelerators += run.room().accelerators();
+        for (RoomRelease release : releases) {
+            milliCpu += release.room().milliCpu();
+            memoryMb += release.room().memoryMb();
+            accelerators += release.room().accelerators();
             if (milliCpu >= 0 && memoryMb >= 0 && accelerators >= 0) {
-                return end.applyAsLong(run);
+                return release.at();
             }
         }
         return NEVER;
@@ -70,9 +80,12 @@
      */
     Resources reserve(Resources room, long time) {
         mAvailable = mAvailable.minus(room);
-        return mRuns.stream()
-                .filter(run -> run.expectedEndFrom(mNow) <= time)
-                .map(EndingRun::room)
+        return mExpectedEnds.stream()
+                .filter(release -> release.at() <= time)
+                .map(RoomRelease::room)
                 .reduce(mAvailable, Resources::plus);
     }
+
+    /** Resources that become free at a time, in monotonic milliseconds. */
+    private record RoomRelease(long at, Resources room) {}
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/reservation/ReservationPlannerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/reservation/ReservationPlannerTest.java
@@ -26,6 +26,12 @@
                     new ReservationSettings(
                             true, 3, Duration.ofSeconds(3), Duration.ofMillis(250)));
 
+    private static final VmRoom A = vm("a", 8, 2, run(4, 1_000, 2_000), run(2, 300, 400));
+    private static final VmRoom B = vm("b", 8, 2, run(6, 500, 900));
+    private static final VmRoom FREE = vm("c", 8, 8);
+    private static final VmRoom FAR = vm("c", 8, 0, run(8, 3_001, 3_001));
+    private static final List<WaitingStep> ONE = List.of(step("j", 1, 6, "", 0));
+
     private static Resources cores(long cores) {
         return new Resources(cores * 1_000, 0, 0);
     }
@@ -78,74 +84,76 @@
     }
 
     static Stream<Arguments> plans() {
-        VmRoom a = vm("a", 8, 2, run(4, 1_000, 2_000), run(2, 300, 400));
-        VmRoom b = vm("b", 8, 2, run(6, 500, 900));
-        VmRoom soon = vm("b", 8, 2, run(6, 100, 200));
-        VmRoom free = vm("c", 8, 8);
-        VmRoom far = vm("c", 8, 0, run(8, 3_001, 3_001));
-        List<WaitingStep> one = List.of(step("j", 1, 6, "", 0));
-        List<WaitingStep> two = List.of(step("j", 1, 6, "", 0), step("k", 1, 6, "", 0));
+        return Stream.concat(newReservations(), formerReservations());
+    }
+
+    private static Stream<Arguments> newReservations() {
         return Stream.of(
-                Arguments.of("first VM", input(List.of(a, b), one), "b+500"),
-                Arguments.of("free VM", input(List.of(a, free), one), "c"),
-                Arguments.of("beyond the longest hold", input(List.of(far), one), "-"),
+                Arguments.of("first VM", input(List.of(A, B), ONE), "b+500"),
+                Arguments.of("free VM", input(List.of(A, FREE), ONE), "c"),
+                Arguments.of("beyond the longest hold", input(List.of(FAR), ONE), "-"),
                 Arguments.of(
                         "larger than the VM",
-                        input(List.of(a), List.of(step("j", 1, 9, "", 0))),
+                        input(List.of(A), List.of(step("j", 1, 9, "", 0))),
                         "-"),
                 Arguments.of(
-                        "label", input(List.of(a, b), List.of(step("j", 1, 6, "a", 0))), "a+1000"),
+                        "label", input(List.of(A, B), List.of(step("j", 1, 6, "a", 0))), "a+1000"),
                 Arguments.of(
                         "most tasks per VM",
-                        input(List.of(a, b), List.of(step("j", 3, 2, "", 1))),
+                        input(List.of(A, B), List.of(step("j", 3, 2, "", 1))),
                         "b - -"),
                 Arguments.of(
                         "each resource once",
-                        input(List.of(a, b), List.of(step("j", 3, 4, "", 0))),
+                        input(List.of(A, B), List.of(step("j", 3, 4, "", 0))),
                         "a+300 b+500 b+500"),
                 Arguments.of(
                         "most urgent first",
-                        input(List.of(a, b), List.of(two.get(0), two.get(1))),
+                        input(List.of(A, B), List.of(ONE.get(0), step("k", 1, 6, "", 0))),
                         "b+500 a+1000"),
                 Arguments.of(
                         "at most three tasks",
-                        input(List.of(free), List.of(step("j", 4, 1, "", 0))),
+                        input(List.of(FREE), List.of(step("j", 4, 1, "", 0))),
                         "c c c"),
                 Arguments.of(
-                        "late run", input(List.of(vm("a", 8, 2, run(6, -400, 200))), one), "a+100"),
+                        "late run", input(List.of(vm("a", 8, 2, run(6, -400, 200))), ONE), "a+100"),
                 Arguments.of(
                         "very late run",
-                        input(List.of(vm("a", 8, 2, run(6, -900, -700))), one),
+                        input(List.of(vm("a", 8, 2, run(6, -900, -700))), ONE),
                         "a+700"),
                 Arguments.of(
                         "mean above the quantile",
-                        input(List.of(vm("a", 8, 2, run(6, 1_000, 400))), one),
-                        "a+400"),
+                        input(List.of(vm("a", 8, 2, run(6, 1_000, 400))), ONE),
+                        "a+400"));
+    }
+
+    private static Stream<Arguments> formerReservations() {
+        VmRoom soon = vm("b", 8, 2, run(6, 100, 200));
+        return Stream.of(
                 Arguments.of(
                         "perhaps earlier elsewhere",
-                        input(List.of(a, b), one, previous("a", 100)),
+                        input(List.of(A, B), ONE, previous("a", 100)),
                         "a+1000"),
                 Arguments.of(
                         "surely earlier elsewhere",
-                        input(List.of(a, soon), one, previous("a", 100)),
+                        input(List.of(A, soon), ONE, previous("a", 100)),
                         "b+100 moved"),
                 Arguments.of(
                         "longest hold is over",
-                        input(List.of(a), one, previous("a", 2_100)),
+                        input(List.of(A), ONE, previous("a", 2_100)),
                         "- expired"),
                 Arguments.of(
                         "VM is not usable",
-                        input(List.of(a), one, previous("b", 100)),
+                        input(List.of(A), ONE, previous("b", 100)),
                         "a+1000 vm_unusable"),
                 Arguments.of(
-                        "no VM in sight", input(List.of(far), one, previous("c", 0)), "- no_room"),
+                        "no VM in sight", input(List.of(FAR), ONE, previous("c", 0)), "- no_room"),
                 Arguments.of(
                         "resources taken by others",
-                        input(List.of(vm("a", 8, 0)), one, previous("a", 0)),
+                        input(List.of(vm("a", 8, 0)), ONE, previous("a", 0)),
                         "- no_room"),
                 Arguments.of(
                         "task waits no more",
-                        input(List.of(a), List.of(), previous("a", 0)),
+                        input(List.of(A), List.of(), previous("a", 0)),
                         "not_waiting"));
     }
 
@@ -184,8 +192,8 @@
                 PLANNER.plan(input(List.of(vm), List.of(step("j", 1, 6, "", 0))))
                         .holds()
                         .getFirst();
-        assertThat(hold.admits(cores(cores), NOW + latestEnd)).isEqualTo(admitted);
+        assertThat(hold.admits(cores(cores), () -> NOW + latestEnd)).isEqualTo(admitted);
         Hold later = hold.afterStart(cores(2), NOW + 9_000);
-        assertThat(later.admits(cores(1), NOW + 9_000)).isFalse();
+        assertThat(later.admits(cores(1), () -> NOW + 9_000)).isFalse();
     }
 }
