Reservations: bound the delay by short tasks

Cause: a backfilled task may end up to maxDelayMillis after the expected start, and then moves it. The next one was compared with the moved start, so a stream of tasks shorter than maxDelayMillis was never held back, and the reserved task did not start before its reservation expired. Change: backfill ends maxDelayMillis after the start that was expected first, if that is earlier than the present one. A round without anything to plan also counts towards the interval of plans, since it has examined up to 16 steps. Result: ReservationFailureTest.shortTasksDelayTheReservedTaskOnce failed before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
@@ -174,8 +174,11 @@
      * @param usable VMs that may get start orders now
      */
     void finishRound(Collection<Vm> usable) {
-        if (mPlanning && !(mWaitingSteps.isEmpty() && mHolds.isEmpty())) {
-            mNextPlanAt = mState.now() + PLAN_INTERVAL_MILLIS;
+        if (!mPlanning || mExaminedSteps == 0 && mHolds.isEmpty()) {
+            return;
+        }
+        mNextPlanAt = mState.now() + PLAN_INTERVAL_MILLIS;
+        if (!mWaitingSteps.isEmpty() || !mHolds.isEmpty()) {
             planSafely(usable);
         }
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/PlanRound.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/PlanRound.java
@@ -137,7 +137,10 @@
                         : new Reservation(
                                 task, vm, previous.madeAt(), previous.firstExpectedStart(), start);
         var beside = timeline.reserve(step.room(), start);
-        mHolds.add(new Hold(reservation, beside, start + mMaxDelayMillis));
+        // Backfill moves the expected start; counted from the moved start, short tasks could delay
+        // the reserved one again and again.
+        long backfillEnd = Math.min(start, reservation.firstExpectedStart()) + mMaxDelayMillis;
+        mHolds.add(new Hold(reservation, beside, backfillEnd));
         candidates.update(timeline);
         return start <= mNow
                 ? new TaskPlan.StartHere(task, vm)
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
@@ -4,7 +4,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.stream.IntStream;
@@ -16,7 +18,10 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.RunStatus;
+import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.reservation.ReservationSettings;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 
@@ -27,6 +32,7 @@
 class ReservationFailureTest {
     private static final Duration HALF_SECOND = Duration.ofMillis(500);
 
+    private final Map<TaskName, Long> mStartedAt = new HashMap<>();
     private OwnerFixture mFixture = create(true);
 
     private static OwnerFixture create(boolean enabled) {
@@ -60,6 +66,33 @@
         submitSmall("small", 1);
     }
 
+    private static StepSpec shortStep(Duration estimate) {
+        StepSpec usual = OwnerFixture.step(1, 1_000, StepTraits.BATCH);
+        return new StepSpec(
+                usual.count(),
+                usual.perTask(),
+                estimate,
+                usual.after(),
+                usual.traits(),
+                usual.placement(),
+                usual.image(),
+                Duration.ZERO,
+                -1);
+    }
+
+    /** Ends the short tasks that have run for a time. */
+    private void endShortRunsAfter(Duration time) {
+        long now = mFixture.mClock.monotonicMillis();
+        for (OwnerFixture.Order order : List.copyOf(mFixture.mStarts)) {
+            if (order.mTask().job().value().startsWith("short")) {
+                long startedAt = mStartedAt.computeIfAbsent(order.mTask(), task -> now);
+                if (startedAt + time.toMillis() == now) {
+                    mFixture.reportEnd(order, EndKind.DONE, "");
+                }
+            }
+        }
+    }
+
     private List<String> started() {
         return mFixture.mStarts.stream().map(order -> order.mTask().job().value()).toList();
     }
@@ -108,6 +141,30 @@
         assertThat(started()).contains("later");
     }
 
+    /**
+     * Guards against short tasks that are admitted one after another, each ending shortly after the
+     * expected start, and so delay the reserved task by more than the settings allow.
+     */
+    @Test
+    void shortTasksDelayTheReservedTaskOnce() {
+        reserveAndFreeHalf();
+        Duration tick = Duration.ofMillis(20);
+        Duration runTime = Duration.ofMillis(100);
+        long expectedStart = mFixture.mClock.monotonicMillis() + HALF_SECOND.toMillis();
+        long latestStart = expectedStart + ReservationSettings.DISABLED.maxDelay().toMillis();
+        while (mFixture.mClock.monotonicMillis() < latestStart + tick.toMillis()) {
+            long now = mFixture.mClock.monotonicMillis();
+            mFixture.submit("short" + now, MixedLoad.SMALL, shortStep(runTime));
+            mFixture.storeAndSchedule();
+            mFixture.advanceTime(tick, "a");
+            if (now == expectedStart) {
+                mFixture.reportEnd(mFixture.mStarts.get(1), EndKind.DONE, "");
+            }
+            endShortRunsAfter(runTime);
+        }
+        assertThat(started()).contains("large");
+    }
+
     /** Guards against an equally or more urgent task that waits for a reservation. */
     @Test
     void urgentTasksAreNotHeldBack() {
