Reservations: readability

The quantile of a RatioHistogram is given once, at its creation, instead of a parameter that always has to be the same; swapTasks is a method of its own; the log fields are one list; reasons stand behind the interval of plans, the generation size and the lower bound of the processor share.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RatioHistogram.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RatioHistogram.java
@@ -7,7 +7,10 @@
  * two generations of them.
  */
 final class RatioHistogram {
-    /** Observations of a generation; a step has up to 20 tasks, whose ratios are alike. */
+    /**
+     * Observations of a generation. The ratios of the tasks of a step are alike, so it has to hold
+     * those of many steps of up to 20 tasks.
+     */
     private static final int GENERATION_SIZE = 512;
 
     /** Fewest observations for a quantile. */
@@ -30,8 +33,15 @@
     private final ShortCountsHistogram mAll =
             new ShortCountsHistogram(MAX_UNITS, SIGNIFICANT_DIGITS);
 
-    /** Quantile that was computed last; 0 if it has to be computed again. */
-    private double mQuantile;
+    /** Quantile that queries ask for, from 0 to 1. */
+    private final double mQuantile;
+
+    /** Value of the quantile; 0 if it has to be computed again. */
+    private double mQuantileValue;
+
+    RatioHistogram(double quantile) {
+        mQuantile = quantile;
+    }
 
     void observe(double ratio) {
         if (mCurrent.getTotalCount() >= GENERATION_SIZE) {
@@ -45,22 +55,17 @@
         long units = Math.clamp(Math.round(ratio * UNITS), 1, MAX_UNITS);
         mCurrent.recordValue(units);
         mAll.recordValue(units);
-        mQuantile = 0;
+        mQuantileValue = 0;
     }
 
-    /**
-     * Returns a quantile.
-     *
-     * @param quantile always the same number from 0 to 1
-     * @param defaultRatio result while there are few observations
-     */
-    double quantile(double quantile, double defaultRatio) {
+    /** Returns the quantile, or a default while there are few observations. */
+    double quantileOr(double defaultRatio) {
         if (mAll.getTotalCount() < MIN_OBSERVATIONS) {
             return defaultRatio;
         }
-        if (mQuantile == 0) {
-            mQuantile = mAll.getValueAtPercentile(quantile * PERCENT) / (double) UNITS;
+        if (mQuantileValue == 0) {
+            mQuantileValue = mAll.getValueAtPercentile(mQuantile * PERCENT) / (double) UNITS;
         }
-        return mQuantile;
+        return mQuantileValue;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
@@ -24,7 +24,10 @@
  * placement and apply from the next one; they are kept in memory only.
  */
 final class RoomReserver {
-    /** Minimum time between two plans, in milliseconds, which bounds their cost. */
+    /**
+     * Minimum time between two plans, in milliseconds, which bounds their cost. It is also the time
+     * for which a reservation on a VM that has become unusable is kept.
+     */
     private static final long PLAN_INTERVAL_MILLIS = 50;
 
     /** Minimum time between two log lines about an unchanged reservation, in milliseconds. */
@@ -145,18 +148,23 @@
             }
             return;
         }
-        if (own != used && own != null) {
-            Task other = used.mTask;
-            own.mTask = other;
-            used.mTask = task;
-            mHolds.put(other, own);
-            mHolds.put(task, used);
+        if (own != null && own != used) {
+            swapTasks(own, used);
         }
         remove(used);
         log("reservation.used", task.mName, used.reservation());
         mState.mLog.count(COUNTER, "used", 1);
     }
 
+    private void swapTasks(VmHold first, VmHold second) {
+        Task task = first.mTask;
+        first.mTask = second.mTask;
+        second.mTask = task;
+        mHolds.put(first.mTask, first);
+        mHolds.put(second.mTask, second);
+    }
+
+    /** Returns the reservation that the start of a task on a VM uses, null if there is none. */
     private VmHold findHold(Task task, Vm vm) {
         VmHold own = mHolds.get(task);
         if (own != null && own.mVm == vm) {
@@ -245,14 +253,22 @@
         mState.mLog.count(COUNTER, reason.label(), 1);
     }
 
-    /** Logs a reservation with the wait that was expected at first and the wait until now. */
+    /**
+     * Logs a reservation with the wait that was expected at first, the wait until now and the time
+     * until the expected start, in milliseconds.
+     */
     private void log(String event, TaskName task, Reservation reservation, Object... more) {
-        List<Object> fields = new ArrayList<>();
-        fields.addAll(List.of("vm", reservation.vm().value()));
-        fields.addAll(
-                List.of("expected_wait", reservation.firstExpectedStart() - reservation.madeAt()));
-        fields.addAll(List.of("wait", mState.now() - reservation.madeAt()));
-        fields.addAll(List.of("expected", reservation.expectedStart() - mState.now()));
+        List<Object> fields =
+                new ArrayList<>(
+                        List.of(
+                                "vm",
+                                reservation.vm().value(),
+                                "expected_wait",
+                                reservation.firstExpectedStart() - reservation.madeAt(),
+                                "wait",
+                                mState.now() - reservation.madeAt(),
+                                "expected",
+                                reservation.expectedStart() - mState.now()));
         fields.addAll(List.of(more));
         mState.mLog.record(event, task, fields.toArray());
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunEndEstimator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunEndEstimator.java
@@ -12,7 +12,10 @@
     /** Time in which a run that is being stopped is expected to end, in milliseconds. */
     private static final long STOP_MILLIS = 500;
 
-    /** Lower bound of the share of its processor time that a paced run counts with. */
+    /**
+     * Lower bound of the share of its processor time that a paced run counts with, so that a run
+     * without any still has a finite expected end.
+     */
     private static final double MIN_CPU_SHARE = 0.05;
 
     /** Time for which expected run times are kept, in milliseconds. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTimeAccuracy.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTimeAccuracy.java
@@ -23,7 +23,7 @@
      */
     void observe(QueueKey queue, double actualMillis, double expectedMillis) {
         if (actualMillis > 0 && expectedMillis > 0) {
-            mRatios.computeIfAbsent(queue, key -> new RatioHistogram())
+            mRatios.computeIfAbsent(queue, key -> new RatioHistogram(LATEST_END_QUANTILE))
                     .observe(actualMillis / expectedMillis);
         }
     }
@@ -31,6 +31,6 @@
     /** Returns the ratio of the latest to the expected run time of the tasks of a queue. */
     double latestRatio(QueueKey queue) {
         RatioHistogram ratios = mRatios.get(queue);
-        return ratios == null ? DEFAULT_RATIO : ratios.quantile(LATEST_END_QUANTILE, DEFAULT_RATIO);
+        return ratios == null ? DEFAULT_RATIO : ratios.quantileOr(DEFAULT_RATIO);
     }
 }
