Reservations: no limit of VMs for steps with a maximum per VM

Cause: the VMs that lack the least could all have the maximum number of tasks of the waiting step, and hide the VMs where its next task may run. Change: a waiting step with maxPerVm lifts the limit of 32 VMs in a plan, as one with a required label does already. Result: ReservationFailureTest.vmsAtTheMaximumOfAStepDoNotHideOthers found no reservation before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
@@ -18,7 +18,8 @@
     /**
      * Maximum number of VMs without reservations in a plan, which bounds its cost: twice the
      * default number of tasks in a plan. A VM that lacks much of its capacity seldom has the room
-     * first.
+     * first. There is no limit if a waiting step may not use all VMs, since the first ones may be
+     * those that it may not use.
      */
     private static final int MAX_VMS = 32;
 
@@ -58,7 +59,10 @@
                 vms.stream()
                         .filter(vm -> !vm.mHolds.isEmpty() || canHoldTaskOfAny(steps, vm))
                         .toList();
-        boolean anywhere = steps.stream().allMatch(step -> step.rule().requiredLabel().isEmpty());
+        boolean anywhere =
+                steps.stream()
+                        .map(WaitingStep::rule)
+                        .allMatch(rule -> rule.requiredLabel().isEmpty() && rule.maxPerVm() == 0);
         if (candidates.size() > MAX_VMS && anywhere) {
             candidates = nearest(candidates, largest);
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
@@ -49,8 +49,8 @@
 
     /**
      * Returns whether a task must not start on the VM. Only less urgent tasks are held back, and
-     * only while the task of the reservation waits. The urgency is compared last, as it may have
-     * to be computed.
+     * only while the task of the reservation waits. The urgency is compared last, as it may have to
+     * be computed.
      */
     boolean excludes(Task task) {
         Job job = mTask.mStep.mJob;
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
@@ -17,6 +17,7 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.RunStatus;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
@@ -204,6 +205,28 @@
         assertThat(lastReservation().mSubject().toString()).startsWith("other");
     }
 
+    /** Guards against many VMs that have room but not for one more task of the step. */
+    @Test
+    void vmsAtTheMaximumOfAStepDoNotHideOthers() {
+        fill("full");
+        IntStream.range(0, 40).forEach(i -> mFixture.addVm("vm" + i, 8_000));
+        StepSpec usual = OwnerFixture.step(41, 4_000, StepTraits.BATCH);
+        mFixture.submit(
+                "limited",
+                new StepSpec(
+                        usual.count(),
+                        usual.perTask(),
+                        usual.estimate(),
+                        usual.after(),
+                        usual.traits(),
+                        new PlacementRule("", "", false, 1),
+                        usual.image(),
+                        Duration.ZERO,
+                        -1));
+        mFixture.storeAndSchedule();
+        assertThat(lastReservation().mFields().get("vm")).isEqualTo("full");
+    }
+
     /** Guards against many VMs that are too small and hide the only one that is large enough. */
     @Test
     void smallVmsDoNotHideLargeOne() {
