--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlanInputs.java
@@ -1,10 +1,8 @@
 package org.knapweedbank.jobs.owner;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.ToLongFunction;
 import java.util.stream.Collectors;
 import java.util.stream.Stream;
@@ -18,10 +16,12 @@
 /** Describes VMs and waiting tasks for the planning of reservations. */
 final class PlanInputs {
     /**
-     * Maximum number of VMs without reservations in a plan, which bounds its cost. A VM that lacks
-     * much of its capacity seldom has the room first.
+     * Maximum number of VMs without reservations in a plan, which bounds its cost: twice the
+     * default number of tasks in a plan. A VM that lacks much of its capacity seldom has the room
+     * first. There is no limit if a waiting step may not use all VMs, since the first ones may be
+     * those that it may not use.
      */
-    private static final int MAX_VMS = 80;
+    private static final int MAX_VMS = 32;
 
     private final RunEndEstimator mEnds;
 
@@ -48,28 +48,42 @@
                 runsByVm);
     }
 
-    /** Returns the VMs of the services of waiting steps, on which room may be reserved. */
+    /** Returns the VMs on which room may be reserved for waiting steps, and those with holds. */
     List<VmRoom> vms(Collection<Vm> vms, List<WaitingStep> steps) {
-        Set<String> services = steps.stream().map(WaitingStep::service).collect(Collectors.toSet());
         Resources largest =
                 new Resources(
                         max(steps, Resources::milliCpu),
                         max(steps, Resources::memoryMb),
                         (int) max(steps, Resources::accelerators));
         List<Vm> candidates =
-                vms.stream().filter(vm -> services.contains(vm.mWorker.service())).toList();
-        boolean anywhere = steps.stream().allMatch(step -> step.rule().requiredLabel().isEmpty());
+                vms.stream()
+                        .filter(vm -> !vm.mHolds.isEmpty() || canHoldTaskOfAny(steps, vm))
+                        .toList();
+        boolean anywhere =
+                steps.stream()
+                        .map(WaitingStep::rule)
+                        .allMatch(rule -> rule.requiredLabel().isEmpty() && rule.maxPerVm() == 0);
         if (candidates.size() > MAX_VMS && anywhere) {
             candidates = nearest(candidates, largest);
         }
         return candidates.stream().map(vm -> room(vm, largest)).toList();
     }
 
+    private static boolean canHoldTaskOfAny(List<WaitingStep> steps, Vm vm) {
+        return steps.stream()
+                .anyMatch(
+                        step ->
+                                step.service().equals(vm.mWorker.service())
+                                        && step.room().fitsIn(vm.mWorker.capacity()));
+    }
+
     /** Returns the VMs that lack the smallest shares, and those with a reservation. */
     private static List<Vm> nearest(List<Vm> vms, Resources room) {
         List<Vm> sorted =
                 vms.stream()
-                        .sorted(Comparator.comparingDouble(vm -> lackingShare(vm, room)))
+                        .map(vm -> new ScoredVm(vm, lackingShare(vm, room)))
+                        .sorted()
+                        .map(ScoredVm::vm)
                         .toList();
         return Stream.concat(
                         sorted.stream().limit(MAX_VMS),
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
@@ -49,7 +49,8 @@
 
     /**
      * Returns whether a task must not start on the VM. Only less urgent tasks are held back, and
-     * only while the task of the reservation waits.
+     * only while the task of the reservation waits. The urgency is compared last, as it may have to
+     * be computed.
      */
     boolean excludes(Task task) {
         Job job = mTask.mStep.mJob;
@@ -57,10 +58,8 @@
         return job != otherJob
                 && mTask.waiting()
                 && !job.finished()
-                && !outdated()
-                && mState.urgency(job).compareTo(mState.urgency(otherJob)) < 0
-                && !mHold.fitsBeside(task.mStep.mSpec.reservation())
-                && !mHold.admits(task.mStep.mSpec.reservation(), latestEnd(task));
+                && !mHold.admits(task.mStep.mSpec.reservation(), () -> latestEnd(task))
+                && mState.urgency(job).compareTo(mState.urgency(otherJob)) < 0;
     }
 
     /** Takes the start of a task on the VM into account that does not use this reservation. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
@@ -4,9 +4,12 @@
 
 import java.io.IOException;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -14,8 +17,12 @@
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedbank.jobs.EndKind;
+import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.RunStatus;
+import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.reservation.ReservationSettings;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 
@@ -26,6 +33,7 @@
 class ReservationFailureTest {
     private static final Duration HALF_SECOND = Duration.ofMillis(500);
 
+    private final Map<TaskName, Long> mStartedAt = new HashMap<>();
     private OwnerFixture mFixture = create(true);
 
     private static OwnerFixture create(boolean enabled) {
@@ -59,10 +67,41 @@
         submitSmall("small", 1);
     }
 
+    private static StepSpec shortStep(Duration estimate) {
+        StepSpec usual = OwnerFixture.step(1, 1_000, StepTraits.BATCH);
+        return new StepSpec(
+                usual.count(),
+                usual.perTask(),
+                estimate,
+                usual.after(),
+                usual.traits(),
+                usual.placement(),
+                usual.image(),
+                Duration.ZERO,
+                -1);
+    }
+
+    /** Ends the short tasks that have run for a time. */
+    private void endShortRunsAfter(Duration time) {
+        long now = mFixture.mClock.monotonicMillis();
+        for (OwnerFixture.Order order : List.copyOf(mFixture.mStarts)) {
+            if (order.mTask().job().value().startsWith("short")) {
+                long startedAt = mStartedAt.computeIfAbsent(order.mTask(), task -> now);
+                if (startedAt + time.toMillis() == now) {
+                    mFixture.reportEnd(order, EndKind.DONE, "");
+                }
+            }
+        }
+    }
+
     private List<String> started() {
         return mFixture.mStarts.stream().map(order -> order.mTask().job().value()).toList();
     }
 
+    private OwnerFixture.LogLine lastReservation() {
+        return mFixture.logLines("reservation.made").getLast();
+    }
+
     private Object lastDropReason() {
         return mFixture.logLines("reservation.dropped").getLast().mFields().get("reason");
     }
@@ -103,6 +142,30 @@
         assertThat(started()).contains("later");
     }
 
+    /**
+     * Guards against short tasks that are admitted one after another, each ending shortly after the
+     * expected start, and so delay the reserved task by more than the settings allow.
+     */
+    @Test
+    void shortTasksDelayTheReservedTaskOnce() {
+        reserveAndFreeHalf();
+        Duration tick = Duration.ofMillis(20);
+        Duration runTime = Duration.ofMillis(100);
+        long expectedStart = mFixture.mClock.monotonicMillis() + HALF_SECOND.toMillis();
+        long latestStart = expectedStart + ReservationSettings.DISABLED.maxDelay().toMillis();
+        while (mFixture.mClock.monotonicMillis() < latestStart + tick.toMillis()) {
+            long now = mFixture.mClock.monotonicMillis();
+            mFixture.submit("short" + now, MixedLoad.SMALL, shortStep(runTime));
+            mFixture.storeAndSchedule();
+            mFixture.advanceTime(tick, "a");
+            if (now == expectedStart) {
+                mFixture.reportEnd(mFixture.mStarts.get(1), EndKind.DONE, "");
+            }
+            endShortRunsAfter(runTime);
+        }
+        assertThat(started()).contains("large");
+    }
+
     /** Guards against an equally or more urgent task that waits for a reservation. */
     @Test
     void urgentTasksAreNotHeldBack() {
@@ -112,13 +175,68 @@
         assertThat(started()).contains("urgent");
     }
 
-    /** Guards against room that stays reserved for a task that will never start. */
+    /**
+     * Guards against room that stays reserved for a task that will never start, and against a log
+     * that blames the VM for it.
+     */
     @Test
     void cancelledTaskLosesItsReservation() {
         reserveAndFreeHalf();
         mFixture.mOwner.cancel(new JobId("large"));
         mFixture.storeAndSchedule();
         assertThat(started()).contains("small");
+        mFixture.advanceTime(Duration.ofMillis(60), "a");
+        assertThat(lastDropReason()).isEqualTo("not_waiting");
+    }
+
+    /** Guards against a paused step that keeps other steps from getting a reservation. */
+    @Test
+    void pausedStepLeavesReservationsToOthers() {
+        mFixture = new OwnerFixture(MixedLoad.scheduling(true, 1));
+        mFixture.mOwner.configure(MixedLoad.queues());
+        reserveAndFreeHalf();
+        while (mFixture.logLines("reservation.dropped").isEmpty()) {
+            mFixture.advanceTime(HALF_SECOND, "a");
+        }
+        assertThat(lastDropReason()).isEqualTo("expired");
+        mFixture.submit("other", MixedLoad.SMALL, OwnerFixture.step(1, 8_000, StepTraits.BATCH));
+        mFixture.storeAndSchedule();
+        mFixture.advanceTime(Duration.ofMillis(60), "a");
+        assertThat(lastReservation().mSubject().toString()).startsWith("other");
+    }
+
+    /** Guards against many VMs that have room but not for one more task of the step. */
+    @Test
+    void vmsAtTheMaximumOfAStepDoNotHideOthers() {
+        fill("full");
+        IntStream.range(0, 40).forEach(i -> mFixture.addVm("vm" + i, 8_000));
+        StepSpec usual = OwnerFixture.step(41, 4_000, StepTraits.BATCH);
+        mFixture.submit(
+                "limited",
+                new StepSpec(
+                        usual.count(),
+                        usual.perTask(),
+                        usual.estimate(),
+                        usual.after(),
+                        usual.traits(),
+                        new PlacementRule("", "", false, 1),
+                        usual.image(),
+                        Duration.ZERO,
+                        -1));
+        mFixture.storeAndSchedule();
+        assertThat(lastReservation().mFields().get("vm")).isEqualTo("full");
+    }
+
+    /** Guards against many VMs that are too small and hide the only one that is large enough. */
+    @Test
+    void smallVmsDoNotHideLargeOne() {
+        mFixture.addVm("large-vm", 16_000);
+        mFixture.submit("busy", OwnerFixture.step(2, 8_000, StepTraits.BATCH));
+        mFixture.storeAndSchedule();
+        IntStream.range(0, 100).forEach(i -> mFixture.addVm("vm" + i, 8_000));
+        mFixture.submit("large", OwnerFixture.step(1, 12_000, StepTraits.BATCH));
+        mFixture.storeAndSchedule();
+        assertThat(lastReservation().mFields().get("vm")).isEqualTo("large-vm");
     }
 
     /** Guards against an owner that acts on a plan from before it was paused. */
@@ -160,7 +278,7 @@
                         mFixture.logLines("reservation.dropped").stream()
                                 .map(line -> line.mFields().get("reason")))
                 .contains("vm_unusable");
-        Object vm = mFixture.logLines("reservation.made").getLast().mFields().get("vm");
+        Object vm = lastReservation().mFields().get("vm");
         assertThat(vm).isEqualTo(otherUsable ? "b" : "a");
     }
 
