Benchmark of a plan of reservations

Cause: the time of the new decision by the number of VMs was not measured by a repeatable benchmark.

--- a/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
+++ b/bench/src/main/java/org/knapweedbank/bench/BenchmarkRunner.java
@@ -16,6 +16,7 @@
 import org.knapweedbank.bench.scheduling.PlacementQuality;
 import org.knapweedbank.bench.scheduling.PlacementThroughput;
 import org.knapweedbank.bench.scheduling.QuotaFairness;
+import org.knapweedbank.bench.scheduling.ReservationPlanTime;
 import org.knapweedbank.bench.scheduling.UrgentStart;
 import org.knapweedbank.bench.store.JournalLoadBenchmark;
 
@@ -27,6 +28,7 @@
                     new PlacementLatency(),
                     new PlacementQuality(),
                     new UrgentStart(),
+                    new ReservationPlanTime(),
                     new OwnerCapacity(),
                     new MembershipCapacity(),
                     new AgentFootprint(),
