Soak: processes run with the optional parts of scheduling enabled

Cause: the soak's settings files had no section scheduling, so it ran with reservations and admission off.

Change: both parts are enabled in the settings that the soak writes, with a warm-up of 3 s.

--- a/soak/src/main/java/org/knapweedbank/soak/Deployment.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Deployment.java
@@ -27,6 +27,9 @@
     static final String QUEUE_PREFIX = "/q/";
     static final Duration STOP_GRACE = Duration.ofSeconds(6);
 
+    /** Shorter than the default, so that owners of a short run refuse jobs under overload. */
+    private static final Duration ADMISSION_WARM_UP = Duration.ofSeconds(3);
+
     private static final Duration START_TIMEOUT = Duration.ofSeconds(30);
     private static final Duration READINESS_TIMEOUT = Duration.ofSeconds(1);
     private static final String SERVICE = "batch";
@@ -214,10 +217,23 @@
 
     private RoleProcess process(String name, String role, ObjectNode settings) throws IOException {
         Path file = mFolder.resolve(name + ".json");
-        Files.writeString(file, settings.toString());
+        Files.writeString(file, withScheduling(settings).toString());
         return new RoleProcess(name, mCommands.command(role), file, mFolder.resolve(name + ".log"));
     }
 
+    /** Adds the optional parts of scheduling, all enabled, to the settings of the platform. */
+    private static ObjectNode withScheduling(ObjectNode settings) {
+        ObjectNode file = HttpJson.object();
+        file.set("deployment", settings);
+        ObjectNode scheduling = file.putObject("scheduling");
+        scheduling.putObject("reservations").put("enabled", true);
+        scheduling
+                .putObject("admission")
+                .put("enabled", true)
+                .put("warmUpMillis", ADMISSION_WARM_UP.toMillis());
+        return file;
+    }
+
     private ObjectNode settings(String node, String host, long seed) throws IOException {
         mStoreProxies.add(
                 new Proxy(host, STORE_PORT, new InetSocketAddress(storeHost(), STORE_PORT), seed));
