--- a/jobs/src/main/java/org/knapweedbank/jobs/PlacementRule.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/PlacementRule.java
@@ -1,5 +1,7 @@
 package org.knapweedbank.jobs;
 
+import java.util.Collection;
+
 /**
  * Restrictions and preferences for the VMs on which the tasks of a step run.
  *
@@ -12,4 +14,14 @@
         String requiredLabel, String preferredRack, boolean sameRack, int maxPerVm) {
     /** Allows any VM. */
     public static final PlacementRule ANYWHERE = new PlacementRule("", "", false, 0);
+
+    /**
+     * Returns whether a VM has the required label.
+     *
+     * @param labels labels of the VM
+     * @return true if it has the label, or if none is required
+     */
+    public boolean allowsLabels(Collection<String> labels) {
+        return requiredLabel.isEmpty() || labels.contains(requiredLabel);
+    }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -106,7 +106,7 @@
     private boolean isJudged(Job job) {
         return mState.ownershipConfirmed()
                 && !job.submission().timetable().hasDueTimes()
-                && JobWork.steps(job).allMatch(JobWork::isBatch);
+                && job.steps().allMatch(JobWork::isBatch);
     }
 
     private JobDemand<JobUrgency> demand(Job job) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/BatchProgressLogger.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/BatchProgressLogger.java
@@ -93,9 +93,8 @@
         Map<PlacementLimit, Integer> counts = new EnumMap<>(PlacementLimit.class);
         jobs.stream()
                 .limit(MAX_EXAMINED_JOBS)
-                .flatMap(job -> job.mOccurrences.stream())
-                .flatMap(occurrence -> occurrence.mSteps.stream())
-                .filter(step -> step.mWaitingTasks > 0 && step.ready())
+                .flatMap(Job::steps)
+                .filter(Step::hasReadyTasks)
                 .flatMap(step -> step.mTasks.stream().filter(Task::waiting).limit(1))
                 .forEach(
                         task -> {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -260,13 +260,26 @@
 
     /** Returns whether a task of the job has a run. */
     boolean hasRuns() {
-        return mOccurrences.stream().flatMap(o -> o.mSteps.stream()).anyMatch(Step::hasRuns);
+        return steps().anyMatch(Step::hasRuns);
+    }
+
+    /**
+     * Returns whether tasks of the job may start as far as the owner's knowledge of it goes.
+     *
+     * @param hasUnresolvedVms whether a task that an earlier owner has started may still run on a
+     *     VM that has not reported
+     */
+    boolean mayStart(boolean hasUnresolvedVms) {
+        return stored() && !(mLoadedFromStore && hasUnresolvedVms);
+    }
+
+    /** Returns the steps of all occurrences. */
+    Stream<Step> steps() {
+        return mOccurrences.stream().flatMap(occurrence -> occurrence.mSteps.stream());
     }
 
     Stream<Task> tasks() {
-        return mOccurrences.stream()
-                .flatMap(o -> o.mSteps.stream())
-                .flatMap(s -> s.mTasks.stream());
+        return steps().flatMap(step -> step.mTasks.stream());
     }
 
     private JobState finalState() {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobUrgency.java
@@ -75,8 +75,7 @@
     /** Returns the work in a given number of tasks of each step, in core-milliseconds. */
     private static double workCoreMillis(
             Job job, ToDoubleFunction<Step> tasks, RunTimeEstimator runTimeEstimator) {
-        return job.mOccurrences.stream()
-                .flatMap(occurrence -> occurrence.mSteps.stream())
+        return job.steps()
                 .mapToDouble(
                         step ->
                                 JobWork.taskCoreMillis(step, runTimeEstimator)
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobWork.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobWork.java
@@ -1,6 +1,5 @@
 package org.knapweedbank.jobs.owner;
 
-import java.util.stream.Stream;
 import org.knapweedbank.jobs.admission.WorkKind;
 import org.knapweedbank.jobs.admission.WorkPool;
 
@@ -34,7 +33,7 @@
 
     /** Returns the work of a new job of one kind. */
     static double total(Job job, WorkKind kind, RunTimeEstimator runTimeEstimator) {
-        return steps(job)
+        return job.steps()
                 .filter(step -> kind(step) == kind)
                 .mapToDouble(step -> remaining(step, runTimeEstimator))
                 .sum();
@@ -46,8 +45,4 @@
         double reserved = total(job, WorkKind.RESERVED, runTimeEstimator);
         return filler > reserved ? WorkKind.FILLER : WorkKind.RESERVED;
     }
-
-    static Stream<Step> steps(Job job) {
-        return job.mOccurrences.stream().flatMap(occurrence -> occurrence.mSteps.stream());
-    }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerSettings.java
@@ -36,30 +36,6 @@
     /** Maximum rate error of a worker's clock, as a factor. */
     private static final double CLOCK_RATE_FACTOR = 1.02;
 
-    /** Creates settings with all optional parts of scheduling switched off. */
-    public OwnerSettings(
-            Duration taskLease,
-            Duration maxWorkerLease,
-            Duration renewalAuthority,
-            Duration maxStoreSilence,
-            Duration clockMargin,
-            Duration maxViewAge,
-            Duration orderTimeout,
-            Duration retention,
-            double crossRackFactor) {
-        this(
-                taskLease,
-                maxWorkerLease,
-                renewalAuthority,
-                maxStoreSilence,
-                clockMargin,
-                maxViewAge,
-                orderTimeout,
-                retention,
-                crossRackFactor,
-                SchedulingSettings.DISABLED);
-    }
-
     /**
      * Returns the time after the last answer to an agent at which the leases of all runs on its VM
      * have expired.
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RoomReserver.java
@@ -106,10 +106,7 @@
             return;
         }
         List<Task> tasks =
-                step.mTasks.stream()
-                        .filter(t -> t.waiting() && mState.now() >= t.mEarliestStartAt)
-                        .limit(limit)
-                        .toList();
+                step.mTasks.stream().filter(t -> t.mayStart(mState.now())).limit(limit).toList();
         tasks.forEach(t -> mWaitingTasks.put(t.mName, t));
         mWaitingSteps.add(mInputs.step(step, tasks, vms));
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -217,12 +217,10 @@
             return;
         }
         double millis = run.fullSpeedMillis(mState.now());
-        countRunTimeError(step, millis);
+        double expected = step.expectedRunMillis(mState.mRunTimeEstimator);
+        countRunTimeError(millis, expected);
         if (mState.reservesRoom() && !run.mAdopted) {
-            mState.mRunTimeAccuracy.observe(
-                    step.mJob.queue().key(),
-                    millis,
-                    step.expectedRunMillis(mState.mRunTimeEstimator));
+            mState.mRunTimeAccuracy.observe(step.mJob.queue().key(), millis, expected);
         }
         step.observeRunTime(millis);
         mState.mRunTimeEstimator.observe(
@@ -233,8 +231,7 @@
     }
 
     /** Counts by how much a run took longer or shorter than was expected at its end. */
-    private void countRunTimeError(Step step, double millis) {
-        double expected = step.expectedRunMillis(mState.mRunTimeEstimator);
+    private void countRunTimeError(double millis, double expected) {
         if (expected > 0) {
             mState.mLog.count(
                     "run_time_error_millis",
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
@@ -126,10 +126,9 @@
                 mState.unfinishedJobs().stream()
                         .filter(Job::stored)
                         .filter(job -> job.queue().service().equals(service))
-                        .flatMap(job -> job.mOccurrences.stream())
-                        .flatMap(occurrence -> occurrence.mSteps.stream())
+                        .flatMap(Job::steps)
                         .filter(step -> step.mSpec.traits().filler())
-                        .filter(step -> step.mWaitingTasks > 0 && step.ready())
+                        .filter(Step::hasReadyTasks)
                         .mapToLong(step -> step.mWaitingTasks * step.mSpec.perTask().milliCpu())
                         .sum();
         return starved + waiting;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
@@ -98,6 +98,11 @@
         return mDoneTasks == mTasks.size();
     }
 
+    /** Returns whether tasks of the step wait and all steps that it depends on are complete. */
+    boolean hasReadyTasks() {
+        return mWaitingTasks > 0 && ready();
+    }
+
     /** Returns whether all steps that this step depends on are complete. */
     boolean ready() {
         return mSpec.after().stream().allMatch(n -> mOccurrence.mSteps.get(n).complete());
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -64,4 +64,13 @@
     boolean waiting() {
         return !mDone && mRun == null;
     }
+
+    /**
+     * Returns whether the task waits and its backoff is over.
+     *
+     * @param now monotonic time in milliseconds
+     */
+    boolean mayStart(long now) {
+        return waiting() && now >= mEarliestStartAt;
+    }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -73,7 +73,7 @@
         }
         List<RankedJob> rankedJobs =
                 mState.unfinishedJobs().stream()
-                        .filter(job -> mayStart(job, hasUnresolvedVms))
+                        .filter(job -> job.mayStart(hasUnresolvedVms))
                         .filter(job -> hasReadyTasks(job) || mFillerMover.hasStarved(job))
                         .map(job -> new RankedJob(job, mState.urgency(job)))
                         .sorted(Comparator.comparing(RankedJob::urgency))
@@ -89,7 +89,7 @@
         mRoomReserver.finishRound(usable);
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
         mWaitingTimes.recordIfDue(
-                task -> findLimit(task, vmsByService, mayStart(task.mStep.mJob, hasUnresolvedVms)));
+                task -> findLimit(task, vmsByService, task.mStep.mJob.mayStart(hasUnresolvedVms)));
     }
 
     /** Returns what prevents the placement of a task, other than the owner itself. */
@@ -150,15 +150,8 @@
         return mState.ownershipConfirmed() && age <= mState.mSettings.maxViewAge().toMillis();
     }
 
-    /** Returns whether tasks of a job may start as far as the owner's knowledge of it goes. */
-    private static boolean mayStart(Job job, boolean hasUnresolvedVms) {
-        return job.stored() && !(job.mLoadedFromStore && hasUnresolvedVms);
-    }
-
     private static boolean hasReadyTasks(Job job) {
-        return job.mOccurrences.stream()
-                .flatMap(o -> o.mSteps.stream())
-                .anyMatch(step -> step.mWaitingTasks > 0 && step.ready());
+        return job.steps().anyMatch(Step::hasReadyTasks);
     }
 
     private void placeJob(Job job, List<Vm> vms) {
@@ -169,7 +162,7 @@
         job.mOccurrences.stream()
                 .filter(o -> o.due(mState.mClock.wallTime()))
                 .flatMap(o -> o.mSteps.stream())
-                .filter(step -> step.mWaitingTasks > 0 && step.ready())
+                .filter(Step::hasReadyTasks)
                 .forEach(step -> placeStep(step, vms));
         mFillerMover.move(job, vms);
     }
@@ -226,7 +219,7 @@
         FillerRequirement fillerRequirement = fillerRequirement(step.mJob, vms);
         VmCandidates candidates = null;
         for (Task task : step.mTasks) {
-            if (!task.waiting() || mState.now() < task.mEarliestStartAt) {
+            if (!task.mayStart(mState.now())) {
                 continue;
             }
             boolean interchangeable = VmCandidates.isInterchangeable(task);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -113,15 +113,18 @@
                 .orElse(PlacementLimit.RULE);
     }
 
+    /** Returns whether the rule of a step allows one more of its tasks on a VM. */
+    static boolean allowedByRule(Step step, Vm vm) {
+        PlacementRule rule = step.mSpec.placement();
+        return rule.allowsLabels(vm.mWorker.labels())
+                && (rule.maxPerVm() == 0 || vm.countRuns(step) < rule.maxPerVm());
+    }
+
     private static PlacementLimit findLimit(
             Task task, Vm vm, FillerRequirement requirement, PressureEstimator pressureEstimator) {
         Step step = task.mStep;
         StepSpec spec = step.mSpec;
-        PlacementRule rule = spec.placement();
-        boolean hasLabel =
-                rule.requiredLabel().isEmpty()
-                        || vm.mWorker.labels().contains(rule.requiredLabel());
-        if (!hasLabel || rule.maxPerVm() != 0 && vm.countRuns(step) >= rule.maxPerVm()) {
+        if (!allowedByRule(step, vm)) {
             return PlacementLimit.RULE;
         }
         if (!spec.reservation().fitsIn(vm.unreserved())) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
@@ -71,9 +71,8 @@
 
     private List<Step> waitingSteps() {
         return mState.unfinishedJobs().stream()
-                .flatMap(job -> job.mOccurrences.stream())
-                .flatMap(occurrence -> occurrence.mSteps.stream())
-                .filter(step -> step.mWaitingTasks > 0 && step.ready())
+                .flatMap(Job::steps)
+                .filter(Step::hasReadyTasks)
                 .filter(step -> step.mOccurrence.due(mState.mClock.wallTime()))
                 .toList();
     }
@@ -98,8 +97,7 @@
      */
     private String findCause(Step step, Function<Task, PlacementLimit> limits) {
         return step.mTasks.stream()
-                .filter(Task::waiting)
-                .filter(task -> mState.now() >= task.mEarliestStartAt)
+                .filter(task -> task.mayStart(mState.now()))
                 .findFirst()
                 .map(limits)
                 .map(limit -> limit == PlacementLimit.NONE ? OWNER : limit.name())
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingWork.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingWork.java
@@ -2,7 +2,6 @@
 
 import java.util.Collection;
 import java.util.List;
-import org.knapweedbank.jobs.PlacementRule;
 
 /** Tells whether work waits for processor time, and not for a rule, a pause or a record. */
 final class WaitingWork {
@@ -22,10 +21,8 @@
 
     /** Returns whether the tasks of a step lack processor time or other resources. */
     boolean waits(Step step) {
-        return step.mWaitingTasks > 0
-                && step.mJob.stored()
-                && !(mLoadedJobsWait && step.mJob.mLoadedFromStore)
-                && step.ready()
+        return step.hasReadyTasks()
+                && step.mJob.mayStart(mLoadedJobsWait)
                 && hasStartableTask(step)
                 && canRun(step, mState.mVms.values());
     }
@@ -40,21 +37,15 @@
     }
 
     private boolean hasStartableTask(Step step) {
-        return step.mTasks.stream()
-                .anyMatch(task -> task.waiting() && task.mEarliestStartAt <= mState.now());
+        return step.mTasks.stream().anyMatch(task -> task.mayStart(mState.now()));
     }
 
     /** Returns whether the rules of a step allow one more task on a VM that is large enough. */
     private static boolean canRun(Step step, Collection<Vm> vms) {
-        PlacementRule rule = step.mSpec.placement();
         String service = step.mJob.queue().service();
         return vms.stream()
                 .filter(vm -> vm.mWorker != null && vm.mWorker.service().equals(service))
                 .filter(vm -> step.mSpec.reservation().fitsIn(vm.mWorker.capacity()))
-                .filter(
-                        vm ->
-                                rule.requiredLabel().isEmpty()
-                                        || vm.mWorker.labels().contains(rule.requiredLabel()))
-                .anyMatch(vm -> rule.maxPerVm() == 0 || vm.countRuns(step) < rule.maxPerVm());
+                .anyMatch(vm -> VmSelector.allowedByRule(step, vm));
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/reservation/WaitingStep.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/reservation/WaitingStep.java
@@ -42,7 +42,7 @@
         boolean limited = rule.maxPerVm() != 0;
         return service.equals(vm.service())
                 && room.fitsIn(vm.capacity())
-                && (rule.requiredLabel().isEmpty() || vm.labels().contains(rule.requiredLabel()))
+                && rule.allowsLabels(vm.labels())
                 && !(limited && runsByVm.getOrDefault(vm.vm(), 0) + further > rule.maxPerVm());
     }
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -43,17 +43,7 @@
 final class OwnerFixture implements OwnerOutput {
     static final QueueKey QUEUE = new QueueKey("example", "/q/");
     static final DataCentreId DATA_CENTRE = new DataCentreId("dc");
-    static final OwnerSettings SETTINGS =
-            new OwnerSettings(
-                    Duration.ofSeconds(6),
-                    Duration.ofSeconds(10),
-                    Duration.ofSeconds(1),
-                    Duration.ofSeconds(6),
-                    Duration.ofMillis(400),
-                    Duration.ofSeconds(3),
-                    Duration.ofSeconds(4),
-                    Duration.ofSeconds(150),
-                    1.5);
+    static final OwnerSettings SETTINGS = settings(SchedulingSettings.DISABLED);
 
     final ManualClock mClock;
     final JobOwner mOwner;
@@ -128,15 +118,15 @@
     /** Returns the usual settings, with optional parts of scheduling. */
     static OwnerSettings settings(SchedulingSettings scheduling) {
         return new OwnerSettings(
-                SETTINGS.taskLease(),
-                SETTINGS.maxWorkerLease(),
-                SETTINGS.renewalAuthority(),
-                SETTINGS.maxStoreSilence(),
-                SETTINGS.clockMargin(),
-                SETTINGS.maxViewAge(),
-                SETTINGS.orderTimeout(),
-                SETTINGS.retention(),
-                SETTINGS.crossRackFactor(),
+                Duration.ofSeconds(6),
+                Duration.ofSeconds(10),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(6),
+                Duration.ofMillis(400),
+                Duration.ofSeconds(3),
+                Duration.ofSeconds(4),
+                Duration.ofSeconds(150),
+                1.5,
                 scheduling);
     }
 
--- a/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
+++ b/node/src/main/java/org/knapweedbank/node/entry/OwnershipTerm.java
@@ -68,6 +68,8 @@
 
     private static final Duration POLL_INTERVAL = Duration.ofMillis(200);
 
+    private static final String UNCONFIRMED = "the ownership is not confirmed";
+
     /** Delay that a caller is told to wait while the ownership is not confirmed. */
     private static final Duration OWNER_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -231,9 +233,7 @@
                                     case SUPERSEDED -> null;
                                     case UNKNOWN ->
                                             new CallAnswer.Refused(
-                                                    "the ownership is not confirmed",
-                                                    false,
-                                                    OWNER_RETRY_AFTER);
+                                                    UNCONFIRMED, false, OWNER_RETRY_AFTER);
                                 }));
     }
 
@@ -437,7 +437,7 @@
         } else if (mOwner.knows(submit.submission().id())) {
             submit(submit, done);
         } else if (result == TermCheck.Result.UNKNOWN) {
-            done.accept(new CallAnswer.OutcomeUnknown("the ownership is not confirmed"));
+            done.accept(new CallAnswer.OutcomeUnknown(UNCONFIRMED));
         } else {
             done.accept(new CallAnswer.Refused(overloaded.reason(), true, overloaded.retryAfter()));
         }
--- a/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
+++ b/node/src/test/java/org/knapweedbank/node/batch/BatchWorld.java
@@ -25,6 +25,7 @@
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerOutput;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.SubmitResult;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.jobs.owner.VmList;
@@ -58,7 +59,8 @@
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(4),
                     Duration.ofSeconds(150),
-                    1.5);
+                    1.5,
+                    SchedulingSettings.DISABLED);
     private static final AgentSettings AGENT_SETTINGS =
             new AgentSettings(
                     Duration.ofSeconds(6),
--- a/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ElectionTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.ManualTimers;
@@ -45,7 +46,18 @@
         }
 
         Candidate(String name, double cpuShare, long processStartMillis) {
-            OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, SILENCE, TTL, TTL, TTL, TTL, 1);
+            OwnerSettings owner =
+                    new OwnerSettings(
+                            TTL,
+                            TTL,
+                            TTL,
+                            SILENCE,
+                            TTL,
+                            TTL,
+                            TTL,
+                            TTL,
+                            1,
+                            SchedulingSettings.DISABLED);
             EntrySettings settings =
                     new EntrySettings(
                             new DaemonId(name), processStartMillis, name, 1, cpuShare, TTL, owner);
--- a/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/EntryNodeTest.java
@@ -11,6 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.node.ManualTimers;
@@ -46,7 +47,9 @@
 
     @BeforeEach
     void start() {
-        OwnerSettings owner = new OwnerSettings(TTL, TTL, TTL, TTL, TTL, TTL, TTL, TTL, 1);
+        OwnerSettings owner =
+                new OwnerSettings(
+                        TTL, TTL, TTL, TTL, TTL, TTL, TTL, TTL, 1, SchedulingSettings.DISABLED);
         EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, TTL, owner);
         new EntryNode(settings, mClock, mTimers, mStore, this, DecisionLog.NONE)
                 .start(listener -> {});
--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
@@ -8,6 +8,7 @@
 import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.ManualTimers;
@@ -92,7 +93,8 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(150),
-                        1);
+                        1,
+                        SchedulingSettings.DISABLED);
         mCurrentStore = new SeverableStore(mStore, mTimers);
         OwnershipTerm[] created = new OwnershipTerm[1];
         created[0] =
--- a/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
@@ -23,6 +23,7 @@
 import org.knapweedbank.jobs.Timetable;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
@@ -85,7 +86,8 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(150),
-                        1);
+                        1,
+                        SchedulingSettings.DISABLED);
         mOwnership =
                 new OwnershipTerm(
                         new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner),
--- a/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/OwnershipTermTest.java
@@ -20,6 +20,7 @@
 import org.knapweedbank.jobs.Timetable;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
@@ -60,8 +61,16 @@
     private OwnershipTerm startTerm(long term) {
         OwnerSettings owner =
                 new OwnerSettings(
-                        TIMEOUT, TIMEOUT, AUTHORITY, SILENCE, TIMEOUT, TIMEOUT, TIMEOUT, TIMEOUT,
-                        1);
+                        TIMEOUT,
+                        TIMEOUT,
+                        AUTHORITY,
+                        SILENCE,
+                        TIMEOUT,
+                        TIMEOUT,
+                        TIMEOUT,
+                        TIMEOUT,
+                        1,
+                        SchedulingSettings.DISABLED);
         EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, TIMEOUT, owner);
         OwnershipTerm ownership =
                 new OwnershipTerm(
--- a/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/RecordWriterTest.java
@@ -26,6 +26,7 @@
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerOutput;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.SubmitResult;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
@@ -49,7 +50,8 @@
                     Duration.ofSeconds(3),
                     Duration.ofSeconds(4),
                     Duration.ofSeconds(150),
-                    1);
+                    1,
+                    SchedulingSettings.DISABLED);
 
     private final ManualClock mClock = new ManualClock();
     private final ManualTimers mTimers = new ManualTimers(mClock);
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -23,6 +23,7 @@
 import org.knapweedbank.jobs.WorkerInfo;
 import org.knapweedbank.jobs.owner.JobOwner;
 import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
@@ -77,7 +78,8 @@
                         Duration.ofSeconds(3),
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(150),
-                        1);
+                        1,
+                        SchedulingSettings.DISABLED);
         EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner);
         mOwnership =
                 new OwnershipTerm(
