Soak proxy: keep a request that is read after the end of its server

Cause: with requestsOutliveServer a delayed request goes to the next server, but the proxy closed the client's socket as soon as the server had gone.

Change: at the end of the server only the direction of the answers is closed towards the client; requests are read on and go to the next server.

Evidence: requestReadAfterTheEndOfTheServerReachesTheNextServer fails before (no connection within 30 s) and passes after. The accept timeout ends a test that would wait forever, as JUnit's timeout doesn't interrupt accept.

--- a/soak/src/main/java/org/knapweedbank/soak/Proxy.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Proxy.java
@@ -127,7 +127,21 @@
             } catch (InterruptedException e) {
                 Thread.currentThread().interrupt();
             }
-            close();
+            if (!isRequest && mDelays.requestsOutliveServer()) {
+                closeServer();
+            } else {
+                close();
+            }
+        }
+
+        /**
+         * Closes the connection to the server, and towards the client only the direction of the
+         * answers: a request that the client has sent may not have been read yet, and closing its
+         * socket would discard it.
+         */
+        private void closeServer() {
+            closeQuietly(mServer);
+            closeQuietly(mClient::shutdownOutput);
         }
 
         private void deliver(Socket to, byte[] buffer, int count, boolean isRequest)
--- a/soak/src/test/java/org/knapweedbank/soak/ProxyTest.java
+++ b/soak/src/test/java/org/knapweedbank/soak/ProxyTest.java
@@ -21,6 +21,9 @@
     /** The seed draws a third of it, time enough for the first server to go before. */
     private static final long DELAY_MILLIS = 4_000;
 
+    /** JUnit's timeout interrupts the thread, which does not end a wait for a connection. */
+    private static final int ACCEPT_TIMEOUT_MILLIS = 30_000;
+
     private static final byte[] REQUEST = "order".getBytes(StandardCharsets.UTF_8);
 
     private ServerSocket mServer;
@@ -29,6 +32,7 @@
     @BeforeEach
     void start() throws IOException {
         mServer = new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+        mServer.setSoTimeout(ACCEPT_TIMEOUT_MILLIS);
         mProxy =
                 new Proxy(
                         "127.0.0.1",
@@ -62,6 +66,23 @@
         }
     }
 
+    /**
+     * Guards against a request that is lost because the proxy learns of the end of the server
+     * before it has read the request.
+     */
+    @Test
+    void requestReadAfterTheEndOfTheServerReachesTheNextServer() throws IOException {
+        mProxy.setDelays(new ProxyDelays(1, DELAY_MILLIS, 0, true));
+        try (Socket client = new Socket("127.0.0.1", mProxy.port())) {
+            mServer.accept().close();
+            assertThat(client.getInputStream().read()).isEqualTo(-1);
+            client.getOutputStream().write(REQUEST);
+            try (Socket accepted = mServer.accept()) {
+                assertThat(accepted.getInputStream().readNBytes(REQUEST.length)).isEqualTo(REQUEST);
+            }
+        }
+    }
+
     private void send() throws IOException {
         try (Socket client = new Socket("127.0.0.1", mProxy.port())) {
             client.getOutputStream().write(REQUEST);
