Log and count why long-running tasks wait

What operators saw: nothing. No line is written for a long-running task that waits, and task_wait_millis names only the limit of the best open VM, so a pool of suspended VMs shows as RULE.

Change: once a second task.waiting gives, for each such step, how many VMs are kept from the task by what: the limit of a VM without room, or what closes a VM that has room (VmClosure). long_running_wait_millis adds up the waits by the most frequent cause. At most ten lines a second; the counter covers all steps. The check of whether a VM is open moves from TaskPlacer to VmAvailability.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -11,12 +11,6 @@
 
 /** Starts tasks that are due and have room, in the order of the urgency of their jobs. */
 final class TaskPlacer {
-    /**
-     * Maximum age of the last answer to an agent, in milliseconds. A start order after a longer
-     * time would reach the agent with an outdated permit.
-     */
-    private static final long MAX_ANSWER_AGE_MILLIS = 1_500;
-
     /**
      * Divisor that gives the part of a job's objective for which its fillers wait for a VM where
      * they run at full speed.
@@ -43,6 +37,8 @@
     private final BatchProgressLogger mProgressLogger;
     private final WaitingTimeRecorder mWaitingTimes;
     private final VmUseLogger mVmUseLogger;
+    private final LongRunningWaitLogger mLongRunningWaitLogger;
+    private final VmAvailability mAvailability;
     private final RoomReserver mRoomReserver;
 
     TaskPlacer(OwnerState state, RunTracker runTracker, VmTracker vmTracker) {
@@ -54,6 +50,8 @@
         mProgressLogger = new BatchProgressLogger(state);
         mWaitingTimes = new WaitingTimeRecorder(state);
         mVmUseLogger = new VmUseLogger(state);
+        mAvailability = new VmAvailability(state);
+        mLongRunningWaitLogger = new LongRunningWaitLogger(state, mAvailability);
         mRoomReserver = new RoomReserver(state);
     }
 
@@ -62,12 +60,13 @@
         mVmUseLogger.logIfDue();
         if (!mayStart()) {
             mWaitingTimes.recordIfDue(task -> PlacementLimit.NONE);
+            mLongRunningWaitLogger.logIfDue(job -> false);
             return;
         }
         mFillerMover.startRound();
         mRoomReserver.startRound();
         boolean hasUnresolvedVms = mVmTracker.hasUnresolvedVms();
-        List<Vm> usable = mState.mVms.values().stream().filter(this::usable).toList();
+        List<Vm> usable = mState.mVms.values().stream().filter(mAvailability::isOpen).toList();
         if (!hasUnresolvedVms) {
             mConsolidator.advance(usable);
         }
@@ -90,6 +89,7 @@
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
         mWaitingTimes.recordIfDue(
                 task -> findLimit(task, vmsByService, task.mStep.mJob.mayStart(hasUnresolvedVms)));
+        mLongRunningWaitLogger.logIfDue(job -> job.mayStart(hasUnresolvedVms));
     }
 
     /** Returns what prevents the placement of a task, other than the owner itself. */
@@ -167,19 +167,6 @@
         mFillerMover.move(job, vms);
     }
 
-    /** Returns whether a VM may get start orders now. */
-    private boolean usable(Vm vm) {
-        return vm.mConnected
-                && vm.mWorker != null
-                && vm.mListedInStore
-                && !vm.mWorker.draining()
-                && vm.mUnwantedTasks.isEmpty()
-                && !mState.mEvacuatedDataCentres.contains(vm.mDataCentre)
-                && mState.now() - vm.mAuthorityGrantedAt <= MAX_ANSWER_AGE_MILLIS
-                && mState.now() >= vm.mBackoffUntil
-                && !vm.mHealth.suspended(mState.now());
-    }
-
     /** Updates the time at which a task of the job last ran. */
     private void updateLastActive(Job job) {
         boolean idle = !job.hasRuns();
