Suspended VMs take trials instead of being closed

Cause: a VM on which tasks of two jobs failed with none done in between was closed to all tasks for 2, 4, 8, 8 s. The failures had no age, long-running tasks are never done, nothing bounded how many VMs were closed at once, and the first placement after a suspension sent the whole backlog there, so a further failure closed the VM for twice as long. Class: a guess that forbids instead of ranking last, without decay and without a limit over the pool.

Change: VmHealth is a suspicion that delays but never closes. A suspected VM takes one task a second as a trial; while it is suspended it ranks behind all others. A run that was started after the suspicion arose and works for longer than the failed ones did ends it (vm.recovered). Failures count for 10 s, and not if the task has failed on another VM before. A batch task whose failure would end its job is no trial within 2 s of a failure there. No task is moved to a suspected VM and no room is reserved on one, as before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/FillerMover.java
@@ -62,7 +62,8 @@
     }
 
     private void move(Run run, List<Vm> vms) {
-        List<Vm> others = vms.stream().filter(vm -> vm != run.mVm).toList();
+        List<Vm> others =
+                vms.stream().filter(vm -> vm != run.mVm && !vm.mHealth.suspected()).toList();
         Optional<Vm> target =
                 VmSelector.select(
                         run.mTask, others, FillerRequirement.FULL_SPEED, mState.mPressureEstimator);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/HangDetector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/HangDetector.java
@@ -61,7 +61,7 @@
         if (stalled.isEmpty() || progressing) {
             return;
         }
-        if (vm.mHealth.suspend(now)) {
+        if (vm.mHealth.suspend()) {
             mState.mLog.record(
                     "vm.suspended",
                     vm.mAgent.value(),
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlacementLimit.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlacementLimit.java
@@ -17,6 +17,9 @@
     /** The VM keeps the resources for a more urgent task. */
     HELD,
 
+    /** The VM is suspected to fail its tasks, and its last trial has only just begun or failed. */
+    SUSPECTED,
+
     /** The reservation of the task does not fit. */
     RESERVATION,
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -52,6 +52,7 @@
     void start(Task task, Vm vm) {
         long runNumber = Math.max(task.mLastRunNumber, (mState.mTerm - 1) * RUNS_PER_TERM) + 1;
         Run run = createRun(task, vm, runNumber);
+        vm.mHealth.recordStart();
         if (task.mMeasuredPercent < 0 && task.mCheckpoint.isEmpty()) {
             task.mMeasuredPercent = 0;
         }
@@ -185,7 +186,9 @@
         long previousVersion = job.version();
         job.mStarted = true;
         Run run = task.mRun;
+        long runMillis = 0;
         if (run != null && run.mVm == vm && run.mNumber <= end.run()) {
+            runMillis = mState.now() - run.mOrderedAt;
             release(run);
             if (end.kind() == EndKind.DONE && run.mNumber == end.run()) {
                 observeRunTime(run);
@@ -201,7 +204,7 @@
                 "vm",
                 vm.mAgent.value());
         if (!job.finished() || end.kind() == EndKind.DONE) {
-            applyEnd(vm, task, end);
+            applyEnd(vm, task, end, runMillis);
         }
         vm.acknowledgeOnceStored(end.number(), job.version() == previousVersion ? null : job);
     }
@@ -240,10 +243,10 @@
         }
     }
 
-    private void applyEnd(Vm vm, Task task, EndedRun end) {
+    private void applyEnd(Vm vm, Task task, EndedRun end, long runMillis) {
         switch (end.kind()) {
             case DONE -> handleDone(vm, task);
-            case FAILED -> handleFailure(vm, task, end);
+            case FAILED -> handleFailure(vm, task, end, runMillis);
             case STOPPED, LAPSED, BROKEN, ALONE -> {}
         }
         saveCheckpoint(task, end.checkpoint());
@@ -285,15 +288,16 @@
                 Math.round(job.mUsedCoreMillis));
     }
 
-    private void handleFailure(Vm vm, Task task, EndedRun end) {
+    private void handleFailure(Vm vm, Task task, EndedRun end, long runMillis) {
         Job job = task.mStep.mJob;
         if (task.mDone || !task.mFailedRuns.add(end.run())) {
             return;
         }
+        boolean failedElsewhere = task.mAvoidedVms.stream().anyMatch(id -> !id.equals(vm.mAgent));
         task.mAvoidedVms.add(vm.mAgent);
         int doublings = Math.min(MAX_BACKOFF_DOUBLINGS, task.mFailedRuns.count());
         task.mEarliestStartAt = mState.now() + (RETRY_BACKOFF_MILLIS << doublings);
-        if (vm.mHealth.recordFailure(job.id(), mState.now())) {
+        if (!failedElsewhere && vm.mHealth.recordFailure(job.id(), runMillis)) {
             mState.mLog.record(
                     "vm.suspended",
                     vm.mAgent.value(),
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -53,6 +53,12 @@
         mStep.mWaitingTasks--;
     }
 
+    /** Returns whether one more failure of the task ends its job. */
+    boolean onLastAttempt() {
+        return !mStep.mSpec.traits().longRunning()
+                && mFailedRuns.count() + 1 >= mStep.mJob.queue().maxAttempts();
+    }
+
     /**
      * Returns the share of the task's work that its current run has not done yet; 1 without a run.
      */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -68,7 +68,7 @@
         boolean hasUnresolvedVms = mVmTracker.hasUnresolvedVms();
         List<Vm> usable = mState.mVms.values().stream().filter(mAvailability::isOpen).toList();
         if (!hasUnresolvedVms) {
-            mConsolidator.advance(usable);
+            mConsolidator.advance(trusted(usable));
         }
         List<RankedJob> rankedJobs =
                 mState.unfinishedJobs().stream()
@@ -85,13 +85,18 @@
                                 ranked,
                                 vmsByService.getOrDefault(
                                         ranked.job().queue().service(), List.of())));
-        mRoomReserver.finishRound(usable);
+        mRoomReserver.finishRound(trusted(usable));
         mProgressLogger.logIfDue(usable, this::fillerRequirement);
         mWaitingTimes.recordIfDue(
                 task -> findLimit(task, vmsByService, task.mStep.mJob.mayStart(hasUnresolvedVms)));
         mLongRunningWaitLogger.logIfDue(job -> job.mayStart(hasUnresolvedVms));
     }
 
+    /** Returns the VMs to which tasks may be moved and on which room may be reserved. */
+    private static List<Vm> trusted(List<Vm> vms) {
+        return vms.stream().filter(vm -> !vm.mHealth.suspected()).toList();
+    }
+
     /** Returns what prevents the placement of a task, other than the owner itself. */
     private PlacementLimit findLimit(
             Task task, Map<String, List<Vm>> vmsByService, boolean mayStart) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -14,6 +14,7 @@
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.DataCentreId;
 import org.knapweedbank.model.Resources;
+import org.knapweedbank.time.Clock;
 
 /**
  * The owner's view of one VM: its worker, its runs, its reserved resources and the ended runs that
@@ -30,7 +31,7 @@
 
     final DaemonId mAgent;
     final DataCentreId mDataCentre;
-    final VmHealth mHealth = new VmHealth();
+    final VmHealth mHealth;
     final Map<TaskName, Run> mRuns = new HashMap<>();
 
     /**
@@ -113,9 +114,10 @@
     /** Processor time that the serving tasks reserve, in thousandths of a core. */
     long mServingMilliCpu;
 
-    Vm(DaemonId agent, DataCentreId dataCentre) {
+    Vm(DaemonId agent, DataCentreId dataCentre, Clock clock) {
         mAgent = agent;
         mDataCentre = dataCentre;
+        mHealth = new VmHealth(clock);
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmAvailability.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmAvailability.java
@@ -43,11 +43,6 @@
         if (mState.now() - vm.mAuthorityGrantedAt > MAX_ANSWER_AGE_MILLIS) {
             return Optional.of(VmClosure.UNANSWERED);
         }
-        if (mState.now() < vm.mBackoffUntil) {
-            return Optional.of(VmClosure.BACKOFF);
-        }
-        return vm.mHealth.suspended(mState.now())
-                ? Optional.of(VmClosure.SUSPENDED)
-                : Optional.empty();
+        return mState.now() < vm.mBackoffUntil ? Optional.of(VmClosure.BACKOFF) : Optional.empty();
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmClosure.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmClosure.java
@@ -24,8 +24,5 @@
     UNANSWERED,
 
     /** The worker or its agent has just refused a start. */
-    BACKOFF,
-
-    /** The VM is suspended. */
-    SUSPENDED
+    BACKOFF
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
@@ -1,28 +1,64 @@
 package org.knapweedbank.jobs.owner;
 
-import java.util.HashSet;
-import java.util.Set;
+import java.util.HashMap;
+import java.util.Map;
 import org.knapweedbank.model.JobId;
+import org.knapweedbank.time.Clock;
 
 /**
- * Tracks the failures on a VM and suspends it when several jobs have failed there with no success
- * in between, so that one faulty job does not suspend a VM. A suspended VM is used again after a
- * time that doubles with each suspension up to a limit.
+ * Suspicion that the worker of a VM fails what it starts, or lets it stand still.
+ *
+ * <p>A suspicion is a guess, so it delays work but never closes the VM: a suspected VM takes one
+ * task at a time as a trial, and while it is suspended, only tasks for which no other VM has room.
+ * The suspicion ends with the first run that shows the worker to be sound. All times are monotonic,
+ * in milliseconds.
  */
 final class VmHealth {
     /** Number of distinct jobs whose tasks must have failed without a success in between. */
     private static final int MIN_FAILED_JOBS = 2;
 
+    /** Age from which a failure says nothing about the present state of the worker. */
+    private static final long FAILURE_WINDOW_MILLIS = 10_000;
+
     private static final long INITIAL_SUSPENSION_MILLIS = 2_000;
     private static final long MAX_SUSPENSION_MILLIS = 8_000;
 
-    private final Set<JobId> mFailedJobs = new HashSet<>();
-    private long mNextSuspensionMillis = INITIAL_SUSPENSION_MILLIS;
+    /**
+     * Minimum time between two trials. It bounds the wait of a task whose only room is on a
+     * suspected VM, and the number of runs that a faulty worker can fail.
+     */
+    private static final long TRIAL_INTERVAL_MILLIS = 1_000;
+
+    /** Time after a failure in which no task is tried whose failure would end its job. */
+    private static final long LAST_ATTEMPT_DELAY_MILLIS = 2_000;
+
+    private final Clock mClock;
+
+    /** Time of the last failure of each job in the window. */
+    private final Map<JobId, Long> mFailedJobs = new HashMap<>();
+
+    private boolean mSuspected;
+
+    /** Time of the first evidence after which the VM has not been shown to be sound. */
+    private long mSuspectedAt;
+
+    /** Longest time for which a run has lasted that then failed. */
+    private long mLongestFailedMillis;
+
+    private long mLastFailureAt;
+    private long mNextTrialAt;
     private long mSuspendedUntil = Long.MIN_VALUE;
+    private long mNextSuspensionMillis = INITIAL_SUSPENSION_MILLIS;
+
+    VmHealth(Clock clock) {
+        mClock = clock;
+    }
 
-    /** Clears the failures and ends a suspension, after a success or a restart of the worker. */
+    /** Ends a suspicion and forgets all failures, after a success or a restart of the worker. */
     void reset() {
         mFailedJobs.clear();
+        mSuspected = false;
+        mLongestFailedMillis = 0;
         mNextSuspensionMillis = INITIAL_SUSPENSION_MILLIS;
         mSuspendedUntil = Long.MIN_VALUE;
     }
@@ -31,31 +67,83 @@
      * Records that a task has failed on the VM.
      *
      * @param job the job of the task
-     * @param now monotonic time in milliseconds
+     * @param runMillis time for which the run had lasted
      * @return true if the failure suspends the VM
      */
-    boolean recordFailure(JobId job, long now) {
-        mFailedJobs.add(job);
-        return mFailedJobs.size() >= MIN_FAILED_JOBS && suspend(now);
+    boolean recordFailure(JobId job, long runMillis) {
+        long now = mClock.monotonicMillis();
+        forgetOldFailures(now);
+        mFailedJobs.put(job, now);
+        mLastFailureAt = now;
+        mLongestFailedMillis = Math.max(mLongestFailedMillis, runMillis);
+        return (mSuspected || mFailedJobs.size() >= MIN_FAILED_JOBS) && suspend();
+    }
+
+    private void forgetOldFailures(long now) {
+        mFailedJobs.values().removeIf(failedAt -> now - failedAt > FAILURE_WINDOW_MILLIS);
+        if (mFailedJobs.isEmpty() && !mSuspected) {
+            mLongestFailedMillis = 0;
+        }
     }
 
     /**
      * Suspends the VM without waiting for failures of a second job.
      *
-     * @param now monotonic time in milliseconds
      * @return true unless the VM was suspended already
      */
-    boolean suspend(long now) {
-        if (suspended(now)) {
+    boolean suspend() {
+        if (suspended()) {
             return false;
         }
+        long now = mClock.monotonicMillis();
+        if (!mSuspected) {
+            mSuspected = true;
+            mSuspectedAt = now;
+            mNextTrialAt = now;
+        }
         mSuspendedUntil = now + mNextSuspensionMillis;
         mNextSuspensionMillis = Math.min(MAX_SUSPENSION_MILLIS, mNextSuspensionMillis * 2);
-        mFailedJobs.clear();
         return true;
     }
 
-    boolean suspended(long now) {
-        return now < mSuspendedUntil;
+    /** Returns whether the VM has not been shown to be sound since it was suspended. */
+    boolean suspected() {
+        return mSuspected;
+    }
+
+    /** Returns whether other VMs go before this one. */
+    boolean suspended() {
+        return mSuspected && mClock.monotonicMillis() < mSuspendedUntil;
+    }
+
+    /** Returns whether the VM takes a task now, as a trial if the VM is suspected. */
+    boolean accepts(Task task) {
+        if (!mSuspected) {
+            return true;
+        }
+        long now = mClock.monotonicMillis();
+        boolean spared = task.onLastAttempt() && now - mLastFailureAt < LAST_ATTEMPT_DELAY_MILLIS;
+        return now >= mNextTrialAt && !spared;
+    }
+
+    /** Records the start of a run. */
+    void recordStart() {
+        mNextTrialAt = mClock.monotonicMillis() + TRIAL_INTERVAL_MILLIS;
+    }
+
+    /**
+     * Records that a run works. It shows the VM to be sound if it was started after the suspicion
+     * arose, and has lasted for longer than the runs that have failed.
+     *
+     * @param orderedAt time at which the run was ordered
+     * @return true if this ends a suspicion
+     */
+    boolean recordWork(long orderedAt) {
+        long runMillis = mClock.monotonicMillis() - orderedAt;
+        if (!mSuspected || orderedAt < mSuspectedAt || runMillis <= mLongestFailedMillis) {
+            return false;
+        }
+        reset();
+        return true;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -60,6 +60,9 @@
     /** Added to the score of a VM on which the task has failed or stalled before. */
     private static final double AVOIDED_VM_PENALTY = 2.0;
 
+    /** Added to the score of a suspended VM; more than all other parts of a score. */
+    private static final double SUSPENDED_VM_PENALTY = 1_000;
+
     private VmSelector() {}
 
     /**
@@ -130,6 +133,9 @@
         if (!spec.reservation().fitsIn(vm.unreserved())) {
             return PlacementLimit.RESERVATION;
         }
+        if (!vm.mHealth.accepts(task)) {
+            return PlacementLimit.SUSPECTED;
+        }
         if (vm.holdsRoomFromTask(task)) {
             return PlacementLimit.HELD;
         }
@@ -218,6 +224,9 @@
         if (vm.hasClaimOf(task)) {
             score -= CLAIM_BONUS;
         }
+        if (vm.mHealth.suspended()) {
+            score += SUSPENDED_VM_PENALTY;
+        }
         return task.mAvoidedVms.contains(vm.mAgent) ? score + AVOIDED_VM_PENALTY : score;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -120,7 +120,7 @@
     /** Handles the full state of a VM and aligns the tracked runs with it. */
     void handleReport(
             DaemonId agent, DataCentreId dataCentre, AgentReport report, OrderCoverage coverage) {
-        Vm vm = mState.mVms.computeIfAbsent(agent, id -> new Vm(id, dataCentre));
+        Vm vm = mState.mVms.computeIfAbsent(agent, id -> new Vm(id, dataCentre, mState.mClock));
         vm.mConnected = true;
         if (report.worker().isEmpty() || outdated(vm, report.worker().get())) {
             return;
@@ -440,6 +440,9 @@
         }
         run.mProgressPercent = listedRun.percent();
         run.mCheckpoint = listedRun.checkpoint();
+        if (run.mProgressPercent > 0 && run.mVm.mHealth.recordWork(run.mOrderedAt)) {
+            mState.mLog.record("vm.recovered", run.mVm.mAgent.value(), "task", run.mTask.mName);
+        }
     }
 
     private void sendProfile(Run run) {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/RunTimeAccuracyTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/RunTimeAccuracyTest.java
@@ -57,7 +57,7 @@
                 new JobSubmission(new JobId("j"), "", List.of(step), Timetable.ONCE);
         Job job = new Job(submission, OwnerFixture.queue(2), clock.wallTime());
         state.addJob(job);
-        Vm vm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE);
+        Vm vm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, new ManualClock(Instant.EPOCH));
         RunTracker tracker = new RunTracker(state);
         List<Task> tasks = job.tasks().toList();
         tasks.forEach(task -> tracker.adopt(task, vm, 1));
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/VmCandidatesTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/VmCandidatesTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Instant;
 import java.util.List;
 import java.util.Random;
 import java.util.stream.IntStream;
@@ -10,6 +11,7 @@
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.time.ManualClock;
 
 /** Tests the rating of VMs for a whole step against the selection for each of its tasks. */
 class VmCandidatesTest {
@@ -24,7 +26,11 @@
         return IntStream.range(0, VMS)
                 .mapToObj(
                         i -> {
-                            Vm vm = new Vm(new DaemonId("vm" + i), OwnerFixture.DATA_CENTRE);
+                            Vm vm =
+                                    new Vm(
+                                            new DaemonId("vm" + i),
+                                            OwnerFixture.DATA_CENTRE,
+                                            new ManualClock(Instant.EPOCH));
                             long milliCpu = 4_000 + random.nextInt(12_000);
                             vm.replaceWorker(OwnerFixture.worker("vm" + i, 1, milliCpu, false));
                             return vm;
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
@@ -34,7 +34,8 @@
                     new Takeover(1, Timestamp.now(mClock), true));
     private final RunTracker mRunTracker = new RunTracker(mState);
     private final WorkMeasurement mMeasurement = new WorkMeasurement(mState);
-    private final Vm mVm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE);
+    private final Vm mVm =
+            new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, new ManualClock(Instant.EPOCH));
     private final Task mTask = firstTask(OwnerFixture.step(1, 2_000, FILLER));
 
     private Task firstTask(StepSpec step) {
--- a/tools/src/main/java/org/knapweedbank/tools/RequestTimeline.java
+++ b/tools/src/main/java/org/knapweedbank/tools/RequestTimeline.java
@@ -28,7 +28,8 @@
                     "owner.superseded");
 
     /** Events of a VM, which may affect the requests that have a task on it. */
-    private static final Set<String> VM_CONTEXT_EVENTS = Set.of("vm.lost", "vm.suspended");
+    private static final Set<String> VM_CONTEXT_EVENTS =
+            Set.of("vm.lost", "vm.suspended", "vm.recovered");
 
     /** Time before the first line of the request in which context events are included. */
     private static final long LOOKBACK_MILLIS = 5_000;
