A completed run ends a suspicion only if it was started after it

Cause: each completed run cleared the suspicion, also one that the worker had started before it became faulty. Class: evidence that is older than the belief that it takes back.

Change: like a run that works, one that completes has to have been started after the suspicion arose. vm.recovered is logged in both cases.

Result: VmHealthTest.successOfEarlierRunProvesNothing; it does not compile before, as a success carried no time. Tests of jobs pass.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -186,9 +186,9 @@
         long previousVersion = job.version();
         job.mStarted = true;
         Run run = task.mRun;
-        long runMillis = 0;
+        long orderedAt = mState.now();
         if (run != null && run.mVm == vm && run.mNumber <= end.run()) {
-            runMillis = mState.now() - run.mOrderedAt;
+            orderedAt = run.mOrderedAt;
             release(run);
             if (end.kind() == EndKind.DONE && run.mNumber == end.run()) {
                 observeRunTime(run);
@@ -204,7 +204,7 @@
                 "vm",
                 vm.mAgent.value());
         if (!job.finished() || end.kind() == EndKind.DONE) {
-            applyEnd(vm, task, end, runMillis);
+            applyEnd(vm, task, end, orderedAt);
         }
         vm.acknowledgeOnceStored(end.number(), job.version() == previousVersion ? null : job);
     }
@@ -243,17 +243,19 @@
         }
     }
 
-    private void applyEnd(Vm vm, Task task, EndedRun end, long runMillis) {
+    private void applyEnd(Vm vm, Task task, EndedRun end, long orderedAt) {
         switch (end.kind()) {
-            case DONE -> handleDone(vm, task);
-            case FAILED -> handleFailure(vm, task, end, runMillis);
+            case DONE -> handleDone(vm, task, orderedAt);
+            case FAILED -> handleFailure(vm, task, end, orderedAt);
             case STOPPED, LAPSED, BROKEN, ALONE -> {}
         }
         saveCheckpoint(task, end.checkpoint());
     }
 
-    private void handleDone(Vm vm, Task task) {
-        vm.mHealth.reset();
+    private void handleDone(Vm vm, Task task, long orderedAt) {
+        if (vm.mHealth.recordSuccess(orderedAt)) {
+            logRecovery(vm, task);
+        }
         Step step = task.mStep;
         if (step.mSpec.traits().longRunning() || task.mDone) {
             return;
@@ -275,6 +277,11 @@
         }
     }
 
+    /** Logs that the run of a task has ended the suspicion against its VM. */
+    void logRecovery(Vm vm, Task task) {
+        mState.mLog.record("vm.recovered", vm.mAgent.value(), "task", task.mName);
+    }
+
     private void logCompletion(Job job) {
         long elapsed = Duration.between(job.accepted(), mState.mClock.wallTime()).toMillis();
         mState.mLog.record(
@@ -288,7 +295,7 @@
                 Math.round(job.mUsedCoreMillis));
     }
 
-    private void handleFailure(Vm vm, Task task, EndedRun end, long runMillis) {
+    private void handleFailure(Vm vm, Task task, EndedRun end, long orderedAt) {
         Job job = task.mStep.mJob;
         if (task.mDone || !task.mFailedRuns.add(end.run())) {
             return;
@@ -297,6 +304,7 @@
         task.mAvoidedVms.add(vm.mAgent);
         int doublings = Math.min(MAX_BACKOFF_DOUBLINGS, task.mFailedRuns.count());
         task.mEarliestStartAt = mState.now() + (RETRY_BACKOFF_MILLIS << doublings);
+        long runMillis = mState.now() - orderedAt;
         if (!failedElsewhere && vm.mHealth.recordFailure(job.id(), runMillis)) {
             mState.mLog.record(
                     "vm.suspended",
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
@@ -54,7 +54,7 @@
         mClock = clock;
     }
 
-    /** Ends a suspicion and forgets all failures, after a success or a restart of the worker. */
+    /** Ends a suspicion and forgets all failures, after a restart of the worker. */
     void reset() {
         mFailedJobs.clear();
         mSuspected = false;
@@ -131,6 +131,22 @@
         mNextTrialAt = mClock.monotonicMillis() + TRIAL_INTERVAL_MILLIS;
     }
 
+    /**
+     * Records that a run has completed. A suspected VM is shown to be sound only by a run that was
+     * started after the suspicion arose, as a faulty worker may still complete earlier ones.
+     *
+     * @param orderedAt time at which the run was ordered
+     * @return true if this ends a suspicion
+     */
+    boolean recordSuccess(long orderedAt) {
+        if (mSuspected && orderedAt < mSuspectedAt) {
+            return false;
+        }
+        boolean suspected = mSuspected;
+        reset();
+        return suspected;
+    }
+
     /**
      * Records that a run works. It shows the VM to be sound if it was started after the suspicion
      * arose, and has lasted for longer than the runs that have failed.
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -441,7 +441,7 @@
         run.mProgressPercent = listedRun.percent();
         run.mCheckpoint = listedRun.checkpoint();
         if (run.mProgressPercent > 0 && run.mVm.mHealth.recordWork(run.mOrderedAt)) {
-            mState.mLog.record("vm.recovered", run.mVm.mAgent.value(), "task", run.mTask.mName);
+            mRunTracker.logRecovery(run.mVm, run.mTask);
         }
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/VmHealthTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/VmHealthTest.java
@@ -62,7 +62,7 @@
     @Test
     void successClearsFailures() {
         fail("a");
-        mHealth.reset();
+        mHealth.recordSuccess(mClock.monotonicMillis());
         assertThat(fail("b")).isFalse();
     }
 
@@ -116,6 +116,19 @@
         assertThat(mHealth.recordWork(orderedAt)).isFalse();
     }
 
+    /** Guards against a backlog that is sent to a faulty VM because an earlier run completes. */
+    @Test
+    void successOfEarlierRunProvesNothing() {
+        long orderedAt = mClock.monotonicMillis();
+        pass(1);
+        suspend();
+        pass(100);
+        assertThat(mHealth.recordSuccess(orderedAt)).isFalse();
+        assertThat(mHealth.suspected()).isTrue();
+        assertThat(mHealth.recordSuccess(mClock.monotonicMillis())).isTrue();
+        assertThat(mHealth.suspected()).isFalse();
+    }
+
     /** Guards against a proof by a run that is younger than the failed ones were. */
     @Test
     void workOfShorterRunProvesNothing() {
