A task on its last attempt does not hold up its step

What callers would see: on a suspected VM that works again, the other tasks of a step wait behind one that the VM does not take yet, for up to 3 s.

Cause: placement ends a step's turn at the first task that no VM takes. That holds for lack of room, which all tasks of the step share, but not for the time in which a VM takes no task whose failure would end its job.

Change: such a task is passed over. The time is 1.5 s instead of 2 s, so that a job with only such tasks waits less than 3 s with the interval of trials. Tasks that have failed before are rated one by one, as they may be on their last attempt when others of their step are not.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -204,8 +204,9 @@
     }
 
     /**
-     * Starts the waiting tasks of a step until one fits on no VM. If the job accepts minimal speed,
-     * only one task is started.
+     * Starts the waiting tasks of a step until one fits on no VM, other than one on its last
+     * attempt that a suspected VM does not take yet. If the job accepts minimal speed, only one
+     * task is started.
      */
     private void placeStep(Step step, List<Vm> vms) {
         FillerRequirement fillerRequirement = fillerRequirement(step.mJob, vms);
@@ -224,6 +225,9 @@
                             ? candidates.best()
                             : VmSelector.select(
                                     task, vms, fillerRequirement, mState.mPressureEstimator);
+            if (vm.isEmpty() && vms.stream().anyMatch(other -> other.mHealth.spares(task))) {
+                continue;
+            }
             if (vm.isEmpty()) {
                 mRoomReserver.addWaiting(task, vms);
                 return;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmCandidates.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmCandidates.java
@@ -41,11 +41,14 @@
 
     /**
      * Returns whether a VM has the same score for a task as for the other interchangeable tasks of
-     * its step. It has not if the task avoids or prefers a VM, or if its step serves users, since
-     * the score then depends on how many tasks wait.
+     * its step. It has not if the task has failed, avoids or prefers a VM, or if its step serves
+     * users, since the score then depends on how many tasks wait.
      */
     static boolean isInterchangeable(Task task) {
-        return !task.mStep.mSpec.serving() && task.mMoves == 0 && task.mAvoidedVms.isEmpty();
+        return !task.mStep.mSpec.serving()
+                && task.mMoves == 0
+                && task.mAvoidedVms.isEmpty()
+                && task.mFailedRuns.count() == 0;
     }
 
     /** Returns the best VM; empty if no VM may take a task. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
@@ -29,8 +29,11 @@
      */
     private static final long TRIAL_INTERVAL_MILLIS = 1_000;
 
-    /** Time after a failure in which no task is tried whose failure would end its job. */
-    private static final long LAST_ATTEMPT_DELAY_MILLIS = 2_000;
+    /**
+     * Time after a failure in which no task is tried whose failure would end its job. Longer than
+     * the interval of trials, so that other tasks go first.
+     */
+    private static final long LAST_ATTEMPT_DELAY_MILLIS = 1_500;
 
     private final Clock mClock;
 
@@ -121,9 +124,14 @@
         if (!mSuspected) {
             return true;
         }
-        long now = mClock.monotonicMillis();
-        boolean spared = task.onLastAttempt() && now - mLastFailureAt < LAST_ATTEMPT_DELAY_MILLIS;
-        return now >= mNextTrialAt && !spared;
+        return mClock.monotonicMillis() >= mNextTrialAt && !spares(task);
+    }
+
+    /** Returns whether the VM takes no task now whose failure would end its job, as this one. */
+    boolean spares(Task task) {
+        return mSuspected
+                && task.onLastAttempt()
+                && mClock.monotonicMillis() - mLastFailureAt < LAST_ATTEMPT_DELAY_MILLIS;
     }
 
     /** Records the start of a run. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/SuspendedVmTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/SuspendedVmTest.java
@@ -142,6 +142,21 @@
         assertThat(mSimulation.advanceUntilRunning("web", 4, LONG)).isAtMost(MAX_WAIT);
     }
 
+    /** Guards against a task on its last attempt that keeps the others of its step from a trial. */
+    @Test
+    void taskOnLastAttemptDoesNotHoldUpItsStep() {
+        start(1_000, "a");
+        mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "a");
+        submitBatch("other", 1);
+        mSimulation.advance(Duration.ofMillis(50));
+        submitBatch("batch", 3);
+        mSimulation.advance(Duration.ofMillis(100));
+        assertThat(mSimulation.failed()).hasSize(3);
+        mSimulation.setBehaviour(WorkerSimulation.Behaviour.SOUND, "a");
+        Duration wait = mSimulation.advanceUntilRunning("batch", 1, LONG);
+        assertThat(wait).isAtMost(Duration.ofMillis(1_200));
+    }
+
     /** Guards against two tries of one task on a faulty VM while a sound one has room. */
     @Test
     void failedTaskMovesToAnotherVm() {
