--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -197,6 +197,7 @@
         if (refusal.isPresent()) {
             return refusal.get();
         }
+        job.tasks().forEach(task -> task.mWaitingSince = mState.now());
         mState.addJob(job);
         mState.mLog.record(
                 "job.created",
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -108,12 +108,18 @@
         run.mTask.mStep.mJob.mStarted = true;
     }
 
-    /** Removes a run from its VM. Unless the task is done, it waits for its next run. */
+    /**
+     * Removes a run from its VM. Unless the task is done, it waits for its next run. If the run has
+     * not started, the task has waited since before its order.
+     */
     void release(Run run) {
         Task task = run.mTask;
         run.mVm.remove(run);
         if (task.mRun == run) {
             task.mRun = null;
+            if (run.mStartConfirmed) {
+                task.mWaitingSince = mState.now();
+            }
             if (!task.mDone) {
                 task.mStep.mWaitingTasks++;
             }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Step.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.jobs.owner;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.knapweedbank.jobs.StepSpec;
@@ -94,6 +95,16 @@
                 .orElse(0);
     }
 
+    /**
+     * Returns the tasks in the order in which they are started. Of a long-running step, those that
+     * have waited longest come first, since only they may use room that is kept for other jobs.
+     */
+    List<Task> tasksInStartOrder() {
+        return mSpec.traits().longRunning()
+                ? mTasks.stream().sorted(Comparator.comparingLong(t -> t.mWaitingSince)).toList()
+                : mTasks;
+    }
+
     boolean complete() {
         return mDoneTasks == mTasks.size();
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -38,6 +38,13 @@
     /** Current run of the task; null if there is none. */
     Run mRun;
 
+    /**
+     * Monotonic time in milliseconds since which the task waits if it has no run: the acceptance of
+     * its job or the end of its last run. {@code Long.MIN_VALUE} if an earlier owner accepted the
+     * job and the task has not run since; it then counts as having waited long.
+     */
+    long mWaitingSince = Long.MIN_VALUE;
+
     /** Agents of the VMs on which the task has failed or stalled; placement prefers other VMs. */
     final Set<DaemonId> mAvoidedVms = new HashSet<>(2);
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -218,7 +218,7 @@
     private void placeStep(Step step, List<Vm> vms) {
         FillerRequirement fillerRequirement = fillerRequirement(step.mJob, vms);
         VmCandidates candidates = null;
-        for (Task task : step.mTasks) {
+        for (Task task : step.tasksInStartOrder()) {
             if (!task.mayStart(mState.now())) {
                 continue;
             }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmCandidates.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmCandidates.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.PriorityQueue;
 import java.util.stream.Collectors;
+import org.knapweedbank.jobs.StepSpec;
 
 /**
  * VMs for the waiting tasks of one step. The tasks of a step have the same requirements, so a start
@@ -41,11 +42,16 @@
 
     /**
      * Returns whether a VM has the same score for a task as for the other interchangeable tasks of
-     * its step. It has not if the task avoids or prefers a VM, or if its step serves users, since
-     * the score then depends on how many tasks wait.
+     * its step. It has not if the task avoids or prefers a VM, if its step serves users, since the
+     * score then depends on how many tasks wait, or if its step is long-running, since a task that
+     * has waited long may use room that is kept from the others.
      */
     static boolean isInterchangeable(Task task) {
-        return !task.mStep.mSpec.serving() && task.mMoves == 0 && task.mAvoidedVms.isEmpty();
+        StepSpec spec = task.mStep.mSpec;
+        return !spec.serving()
+                && !spec.traits().longRunning()
+                && task.mMoves == 0
+                && task.mAvoidedVms.isEmpty();
     }
 
     /** Returns the best VM; empty if no VM may take a task. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
@@ -96,7 +96,7 @@
      * failure; the placement considers the tasks of a step in the same order.
      */
     private String findCause(Step step, Function<Task, PlacementLimit> limits) {
-        return step.mTasks.stream()
+        return step.tasksInStartOrder().stream()
                 .filter(task -> task.mayStart(mState.now()))
                 .findFirst()
                 .map(limits)
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/ReservationFailureTest.java
@@ -282,6 +282,32 @@
         assertThat(vm).isEqualTo(otherUsable ? "b" : "a");
     }
 
+    /**
+     * Guards against a reservation that stays on a VM whose room a long-running task has taken, and
+     * so keeps the reserved task waiting and the rest of the VM unused.
+     */
+    @Test
+    void reservationLeavesAVmWhoseRoomIsTaken() {
+        fill("a");
+        mFixture.advanceTime(Duration.ofMillis(300), "a");
+        fill("b");
+        waitAndFreeHalf("a", "b");
+        mFixture.submit("service", MixedLoad.SMALL, OwnerFixture.servingStep(1, 2_000, -1));
+        mFixture.storeAndSchedule();
+        assertThat(started()).doesNotContain("service");
+        mFixture.advanceTime(HALF_SECOND, "a", "b");
+        mFixture.advanceTime(HALF_SECOND, "a", "b");
+        assertThat(started()).contains("service");
+        mFixture.advanceTime(Duration.ofMillis(60), "a", "b");
+        assertThat(lastDropReason()).isEqualTo("moved");
+        assertThat(lastReservation().mFields().get("vm")).isEqualTo("b");
+        mFixture.advanceTime(Duration.ofMillis(60), "a", "b");
+        assertThat(started()).contains("small");
+        mFixture.reportEnd(mFixture.mStarts.get(2), EndKind.DONE, "");
+        mFixture.reportEnd(mFixture.mStarts.get(3), EndKind.DONE, "");
+        assertThat(started()).contains("large");
+    }
+
     /** Guards against a new owner that does not plan, or starts tasks over the capacity. */
     @Test
     void newOwnerMakesItsOwnPlan() throws IOException {
