--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
@@ -1,6 +1,5 @@
 package org.knapweedbank.jobs.owner;
 
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -32,9 +31,6 @@
     private final VmAvailability mAvailability;
     private long mLoggedAt;
 
-    /** Monotonic time in milliseconds since when each step has waiting tasks. */
-    private Map<Step, Long> mWaitingSince = Map.of();
-
     LongRunningWaitLogger(OwnerState state, VmAvailability availability) {
         mState = state;
         mAvailability = availability;
@@ -53,7 +49,6 @@
         }
         mLoggedAt = mState.now();
         List<Step> steps = waitingSteps();
-        mWaitingSince = updateWaitingSince(steps);
         for (int i = 0; i < steps.size(); i++) {
             Step step = steps.get(i);
             Map<String, Integer> vmsByCause = countVms(step);
@@ -66,13 +61,14 @@
     }
 
     private void record(Step step, String cause, Map<String, Integer> vmsByCause) {
+        Task task = firstWaiting(step);
         mState.mLog.record(
                 "task.waiting",
-                firstWaiting(step).mName,
+                task.mName,
                 "tasks",
                 step.mWaitingTasks,
                 "waited_ms",
-                mState.now() - mWaitingSince.get(step),
+                mState.now() - Math.max(task.mWaitingSince, mState.mTakenOverAt),
                 "cause",
                 cause,
                 "vms",
@@ -88,15 +84,8 @@
                 .toList();
     }
 
-    private Map<Step, Long> updateWaitingSince(List<Step> steps) {
-        Map<Step, Long> previous = mWaitingSince;
-        Map<Step, Long> waitingSince = new HashMap<>();
-        steps.forEach(step -> waitingSince.put(step, previous.getOrDefault(step, mState.now())));
-        return waitingSince;
-    }
-
     private static Task firstWaiting(Step step) {
-        return step.mTasks.stream().filter(Task::waiting).findFirst().orElseThrow();
+        return step.tasksInStartOrder().stream().filter(Task::waiting).findFirst().orElseThrow();
     }
 
     private Map<String, Integer> countVms(Step step) {
