Agent: state of the worker and of the owner's link in classes of their own

AgentSession held 20 fields that any of its methods could change, and most faults of the agent were found there. Which state belongs to one incarnation of the worker, and which to the link, was not visible.

KnownWorker holds what belongs to the incarnation that takes the calls and discards it in one place when another one takes over. OwnerChannel holds the link, the term and what has been reported, and decides what is sent. AgentSession keeps the orders, the renewals and the departure for now.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -2,9 +2,7 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Optional;
 import java.util.OptionalLong;
-import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.StartOrder;
@@ -37,61 +35,24 @@
      */
     private static final Duration MAX_ACKNOWLEDGEMENT_WAIT = Duration.ofMillis(100);
 
-    /** Age of lists above which they don't show any more that the worker is idle. */
-    private static final Duration MAX_IDLE_LIST_AGE = Duration.ofSeconds(2);
-
     private final AgentSettings mSettings;
     private final Clock mClock;
     private final Timers mTimers;
     private final WorkerClient mWorkerClient;
     private final DecisionLog mLog;
     private final RunLog mRunLog;
-    private final RunTable mRuns = new RunTable();
+    private final KnownWorker mWorker;
+    private final RunTable mRuns;
     private final LeaseAuthority mAuthority;
+    private final OwnerChannel mOwner;
     private final FillerThrottle mThrottle;
     private final WorkerProbe mProbe;
     private final UnansweredStarts mUnansweredStarts;
     private final UnreadableEnds mUnreadableEnds;
 
-    /** Worker that takes the calls on this VM; null if none has answered yet. */
-    private WorkerInfo mWorker;
-
-    /** Sequence number of the newest status report of the worker. */
-    private long mReportSequence;
-
     /** Worker that has left last; null if none has. */
     private WorkerId mLeftWorker;
 
-    /** Departure of the worker that has announced that it leaves; null if it has not. */
-    private WorkerDeparture mDeparture;
-
-    private Link mOwner;
-    private long mTerm;
-
-    /** What has been reported to the connected owner. */
-    private Reported mReported = Reported.NOTHING;
-
-    /**
-     * Reason why nothing runs on the VM; null while the worker holds a lease or one that was given
-     * by an earlier process of the agent may last.
-     */
-    private String mNoWorkerReason;
-
-    /** True if the incarnation in {@link #mWorker} has answered the last lease renewal. */
-    private boolean mWorkerAnswers;
-
-    /**
-     * False while the attributes of the worker are those of an earlier incarnation, until the first
-     * status report of the present one.
-     */
-    private boolean mAttributesKnown;
-
-    /** Newest grant that had been received when the latest conclusive lists were requested. */
-    private long mListsGrant;
-
-    /** Monotonic time in milliseconds at which these lists were requested. */
-    private long mListsRequestedAtMillis = Long.MIN_VALUE / 2;
-
     /** Identifies the current series of lease renewals; replies to earlier series continue none. */
     private int mPollId;
 
@@ -120,7 +81,10 @@
         mWorkerClient = workerClient;
         mLog = log;
         mRunLog = new RunLog(log);
-        mAuthority = new LeaseAuthority(clock, settings.taskLease(), settings.maxWorkerLease());
+        mWorker = new KnownWorker(settings, clock, mRunLog);
+        mRuns = mWorker.runs();
+        mAuthority = mWorker.authority();
+        mOwner = new OwnerChannel(clock, log, mRunLog, mWorker);
         mThrottle = new FillerThrottle(clock, workerClient, log, mRuns);
         mUnansweredStarts = new UnansweredStarts(clock, workerClient, log);
         mUnreadableEnds = new UnreadableEnds(clock);
@@ -140,9 +104,9 @@
             mLog.record("worker.outdated", info.id(), "reason", "the worker has left");
             return;
         }
-        if (mWorker != null && mWorker.id().equals(info.id())) {
+        if (mWorker.is(info.id())) {
             updateWorker(report);
-        } else if (mWorker != null && info.id().incarnation() < mWorker.id().incarnation()) {
+        } else if (mWorker.isPresent() && info.id().incarnation() < mWorker.id().incarnation()) {
             mLog.record("worker.outdated", info.id(), "present", mWorker.id());
         } else {
             mProbe.announce(report);
@@ -152,23 +116,22 @@
     /** Updates the attributes of the known worker. */
     private void updateWorker(StatusReport report) {
         WorkerInfo info = report.worker();
-        if (report.sequence() <= mReportSequence) {
+        if (!mWorker.isNewer(report)) {
             return;
         }
-        if (mAttributesKnown && !info.service().equals(mWorker.service())) {
+        boolean joins = !mWorker.attributesKnown();
+        if (!joins && !info.service().equals(mWorker.info().service())) {
             mLog.record("worker.rejected", info.id(), "other_service", info.service());
             return;
         }
-        mReportSequence = report.sequence();
-        boolean changed = !mWorker.equals(info);
-        mWorker = info;
-        if (!mAttributesKnown) {
-            mAttributesKnown = true;
+        boolean changed = !mWorker.info().equals(info);
+        mWorker.update(report);
+        if (joins) {
             mLog.record("worker.joined", info.id(), "service", info.service());
             restartPolling();
         } else if (changed) {
             mLog.record("worker.update", info.id(), "draining", info.draining());
-            sendAfterReport(new NodeMessage.WorkerUpdate(info));
+            mOwner.reportAttributes();
         }
     }
 
@@ -182,7 +145,7 @@
      * @param confirm confirms the notice, on which the worker ends; called once
      */
     public void workerLeaving(String id, OptionalLong incarnation, Runnable confirm) {
-        if (mWorker != null && isLeaving(mWorker, id, incarnation)) {
+        if (mWorker.isPresent() && isLeaving(mWorker.info(), id, incarnation)) {
             handleNotice(confirm);
             return;
         }
@@ -208,13 +171,14 @@
 
     /** Begins the departure of the worker, or delays the confirmation of a repeated notice. */
     private void handleNotice(Runnable confirm) {
-        if (mDeparture != null) {
-            mDeparture.add(confirm);
+        if (mWorker.isLeaving()) {
+            mWorker.departure().add(confirm);
             return;
         }
         mLog.record("worker.leaving", mWorker.id(), "runs", mRuns.runs().size());
-        mDeparture = new WorkerDeparture(mClock, mTimers);
-        mDeparture.add(confirm);
+        WorkerDeparture departure = new WorkerDeparture(mClock, mTimers);
+        mWorker.beginDeparture(departure);
+        departure.add(confirm);
         stopRunsOfLeavingWorker();
         restartPolling();
     }
@@ -232,8 +196,9 @@
      * forgets them when it ends.
      */
     private void completeDepartureIfIdle(ListRequest request) {
-        boolean idle = mDeparture.precedes(request.sentAtMillis()) && mRuns.runs().isEmpty();
-        if (idle && (mRuns.unacknowledged().isEmpty() || mDeparture.isConfirmationDue())) {
+        WorkerDeparture departure = mWorker.departure();
+        boolean idle = departure.precedes(request.sentAtMillis()) && mRuns.runs().isEmpty();
+        if (idle && (mRuns.unacknowledged().isEmpty() || departure.isConfirmationDue())) {
             completeDeparture("nothing runs on it any more");
         }
     }
@@ -243,7 +208,7 @@
      * without an answer may still reach a next incarnation under its identifier.
      */
     private void completeDepartureIfEnded(String evidence) {
-        if (mDeparture != null && mRuns.starting().isEmpty()) {
+        if (mWorker.isLeaving() && mRuns.starting().isEmpty()) {
             completeDeparture(evidence);
         }
     }
@@ -251,8 +216,9 @@
     private void completeDeparture(String evidence) {
         mLog.record("worker.left", mWorker.id(), "evidence", evidence);
         mLeftWorker = mWorker.id();
-        replaceWorker(null);
-        stateNoWorker("the worker has left: " + evidence);
+        mWorker.remove();
+        handleReplacement();
+        mOwner.stateNoWorker("the worker has left: " + evidence);
     }
 
     /**
@@ -261,7 +227,7 @@
      * @return the term, 0 if none
      */
     public long term() {
-        return mTerm;
+        return mOwner.term();
     }
 
     /**
@@ -271,21 +237,15 @@
      * @param term term of the owner, not below {@link #term()}
      */
     public void connected(Link owner, long term) {
-        mOwner = owner;
-        mTerm = term;
-        mReported = Reported.NOTHING;
-        if (mNoWorkerReason != null) {
-            sendToOwner(new NodeMessage.NoWorker(mNoWorkerReason));
-        }
+        mOwner.connected(owner, term);
         restartPolling();
         mProbe.setTerm(term);
-        sendPing();
+        mOwner.sendPing();
     }
 
     /** Handles the loss of the link to the owner. */
     public void disconnected() {
-        mOwner = null;
-        mReported = Reported.NOTHING;
+        mOwner.disconnected();
     }
 
     /**
@@ -296,7 +256,7 @@
     public void received(NodeMessage message) {
         switch (message) {
             case NodeMessage.Pong pong -> {
-                mAuthority.excessLease().update(isIdle());
+                mAuthority.excessLease().update(mWorker.isIdle());
                 mAuthority.grant(pong.number());
             }
             case NodeMessage.Start start -> handleStart(start);
@@ -307,31 +267,10 @@
         }
     }
 
-    /** Sets another worker, or none, and discards all state of the previous one. */
-    private void replaceWorker(WorkerInfo worker) {
-        boolean sameId =
-                worker != null && mWorker != null && mWorker.id().id().equals(worker.id().id());
-        if (sameId) {
-            mRuns.clearListed()
-                    .forEach(run -> mRunLog.removed(run, "ended with the former incarnation"));
-        } else {
-            mRuns.clear();
-        }
-        mWorker = worker;
-        if (mDeparture != null) {
-            mDeparture.confirm();
-            mDeparture = null;
-        }
-        mReported = Reported.NOTHING;
-        mNoWorkerReason = null;
-        mListsGrant = 0;
-        mListsRequestedAtMillis = Long.MIN_VALUE / 2;
-        mWorkerAnswers = false;
+    /** Ends what concerns the previous worker, after another one, or none, has been set. */
+    private void handleReplacement() {
+        mOwner.workerReplaced();
         mPollId++;
-        mAuthority.reset();
-        if (sameId) {
-            mAuthority.excessLease().recordRestart(worker.id().incarnation());
-        }
     }
 
     /**
@@ -342,16 +281,15 @@
     private void handleRestart(long incarnation) {
         WorkerId restarted = new WorkerId(mWorker.id().id(), incarnation);
         mLog.record("worker.restarted", restarted, "previous", mWorker.id().incarnation());
-        replaceWorker(mWorker.withId(restarted));
-        mAttributesKnown = false;
-        mReportSequence = Long.MIN_VALUE;
+        mWorker.restart(restarted);
+        handleReplacement();
         restartPolling();
     }
 
     /** Starts a new series of lease renewals with one that the worker answers at once. */
     private void restartPolling() {
         mPollId++;
-        if (mWorker != null && mTerm > 0) {
+        if (mWorker.isPresent() && mOwner.term() > 0) {
             renewLease(mPollId, Duration.ZERO);
         }
     }
@@ -364,8 +302,8 @@
         long leaseEndMillis = mAuthority.leaseEndMillis();
         boolean overdue = mAuthority.excessLease().isOverdue();
         OptionalLong newLeaseEndMillis =
-                mWorkerAnswers
-                                && mDeparture == null
+                mWorker.answers()
+                                && !mWorker.isLeaving()
                                 && !overdue
                                 && leaseEndMillis > mAuthority.workerClockMillis()
                         ? OptionalLong.of(leaseEndMillis)
@@ -373,22 +311,23 @@
         if (newLeaseEndMillis.isPresent()) {
             mAuthority.excessLease().recordDeadlineSent();
         }
-        ListRequest lists = new ListRequest(mTerm, sentAtMillis, mAuthority.newestGrant());
+        ListRequest lists = new ListRequest(mOwner.term(), sentAtMillis, mAuthority.newestGrant());
         WorkerId worker = mWorker.id();
         // The worker may have started again since it last answered. A new incarnation would discard
         // ends that nobody has read, as it numbers them from 1 again, and would take a deadline on
         // the clock of its predecessor for one far ahead. An overdue worker keeps its ends, as
         // their tasks may run elsewhere.
-        long acknowledgedEnd = mWorkerAnswers && !overdue ? mRuns.highestAcknowledged() : 0;
+        long acknowledgedEnd = mWorker.answers() && !overdue ? mRuns.highestAcknowledged() : 0;
         LeaseRenewalRequest request =
-                new LeaseRenewalRequest(worker, mTerm, acknowledgedEnd, newLeaseEndMillis, maxWait);
+                new LeaseRenewalRequest(
+                        worker, mOwner.term(), acknowledgedEnd, newLeaseEndMillis, maxWait);
         mWorkerClient.renewLease(
                 request, reply -> handleRenewalReply(pollId, worker, lists, reply));
     }
 
     private void handleRenewalReply(
             int pollId, WorkerId worker, ListRequest lists, LeaseRenewalReply reply) {
-        if (mWorker == null || !mWorker.id().equals(worker)) {
+        if (!mWorker.is(worker)) {
             return;
         }
         if (reply instanceof LeaseRenewalReply.Renewed renewed
@@ -396,12 +335,13 @@
             handleRestart(renewed.incarnation());
             return;
         }
-        mWorkerAnswers =
+        mWorker.setAnswers(
                 reply instanceof LeaseRenewalReply.Renewed renewed
-                        && renewed.incarnation() == worker.incarnation();
+                        && renewed.incarnation() == worker.incarnation());
         switch (reply) {
             case LeaseRenewalReply.Renewed renewed -> {
-                if (mWorkerAnswers && mAuthority.updateWorkerClock(renewed.workerClockMillis())) {
+                if (mWorker.answers()
+                        && mAuthority.updateWorkerClock(renewed.workerClockMillis())) {
                     applyRunListsSafely(renewed, lists);
                 }
                 pollAfter(
@@ -409,7 +349,7 @@
                         renewed.ended().isEmpty() ? Duration.ZERO : MAX_ACKNOWLEDGEMENT_WAIT);
             }
             case LeaseRenewalReply.Fenced ignored -> {
-                handleFenced(worker, lists.term());
+                mOwner.handleFenced(worker, lists.term());
                 pollAfter(pollId, TICK_INTERVAL);
             }
             case LeaseRenewalReply.OtherWorker ignored -> {
@@ -428,13 +368,6 @@
         }
     }
 
-    private void handleFenced(WorkerId worker, long term) {
-        mLog.record("worker.fenced", worker, "term", mTerm);
-        if (mOwner != null && term == mTerm) {
-            mOwner.close("the worker has seen a later term than " + mTerm);
-        }
-    }
-
     /** Renews the lease after a pause, unless a new series of renewals has been started. */
     private void pollAfter(int pollId, Duration pause) {
         if (pollId != mPollId) {
@@ -451,7 +384,7 @@
                         mPollingPaused = false;
                         // After a renewal without an answer the worker may have started again,
                         // which its next answer shows.
-                        renewLease(pollId, mWorkerAnswers ? maxRenewalWait() : Duration.ZERO);
+                        renewLease(pollId, mWorker.answers() ? maxRenewalWait() : Duration.ZERO);
                     }
                 };
         Runnable cancel = mTimers.after(pause, resume);
@@ -463,7 +396,7 @@
     }
 
     private Duration maxRenewalWait() {
-        return mDeparture == null ? mSettings.maxRenewalWait() : WorkerDeparture.MAX_RENEWAL_WAIT;
+        return mWorker.isLeaving() ? WorkerDeparture.MAX_RENEWAL_WAIT : mSettings.maxRenewalWait();
     }
 
     /** Applies the worker's lists of runs; a failure must not end the renewals of the lease. */
@@ -482,26 +415,14 @@
         List<EndedRun> newEnds =
                 mRuns.addEnds(mUnreadableEnds.withoutHeldBack(renewed, mRuns.highestReported()));
         if (renewed.conclusive()) {
-            mListsGrant = request.newestGrant();
-            mListsRequestedAtMillis = request.sentAtMillis();
+            mWorker.recordLists(request);
             mRuns.removeAbsent(renewed.running(), request.sentAtMillis())
                     .forEach(run -> mRunLog.removed(run, "not in the worker's lists"));
             expireUnansweredStarts(renewed.workerClockMillis(), request);
         }
-        if (mNoWorkerReason != null) {
-            mNoWorkerReason = null;
-            mReported = Reported.NOTHING;
-        }
-        boolean reportable =
-                renewed.complete() && mAttributesKnown && request.term() == mTerm && mOwner != null;
-        Reported possible = renewed.allEnds() ? Reported.ALL_RUNS : Reported.SOME_ENDS;
-        if (reportable && mReported.compareTo(possible) < 0) {
-            reportState(possible, renewed.workerClockMillis(), request);
-        } else if (mReported != Reported.NOTHING && !newEnds.isEmpty()) {
-            sendToOwner(new NodeMessage.Ends(mWorker.id(), newEnds));
-        }
-        mThrottle.adjust(mWorker.id(), mTerm);
-        if (mDeparture != null) {
+        mOwner.reportLists(renewed, request, newEnds);
+        mThrottle.adjust(mWorker.id(), mOwner.term());
+        if (mWorker.isLeaving()) {
             stopRunsOfLeavingWorker();
             if (renewed.conclusive()) {
                 completeDepartureIfIdle(request);
@@ -509,36 +430,12 @@
         }
     }
 
-    /**
-     * Reports the runs and ends to the owner. While the worker has more ends than it can list, the
-     * report is incomplete; it lets the owner store these ends, after which the worker lists more.
-     */
-    private void reportState(Reported reported, long workerClockMillis, ListRequest request) {
-        mReported = reported;
-        mRunLog.reported(
-                mWorker.id(),
-                mTerm,
-                reported,
-                mClock.monotonicMillis() - request.sentAtMillis(),
-                workerClockMillis,
-                mRuns);
-        mOwner.send(
-                new NodeMessage.Report(
-                        request.newestGrant(),
-                        new AgentReport(
-                                Optional.of(mWorker),
-                                reported == Reported.ALL_RUNS,
-                                mRuns.starting(),
-                                mRuns.running(),
-                                mRuns.unacknowledged())));
-    }
-
     /**
      * Reports unanswered start orders as not started if conclusive lists, which do not hold them,
      * were made when the worker could no longer carry them out.
      */
     private void expireUnansweredStarts(long workerClockMillis, ListRequest request) {
-        mUnansweredStarts.revoke(mWorker.id(), mTerm, mRuns);
+        mUnansweredStarts.revoke(mWorker.id(), mOwner.term(), mRuns);
         mRuns.runs().stream()
                 .filter(run -> !run.mStarted && run.mUnanswered)
                 .filter(run -> canNoLongerStart(run, workerClockMillis, request))
@@ -574,7 +471,11 @@
         run.mClockReadingMillis = mAuthority.latestReadingMillis();
         mAuthority.excessLease().recordDeadlineSent();
         mWorkerClient.start(
-                mWorker.id(), order, deadlineMillis, mTerm, reply -> handleStartReply(run, reply));
+                mWorker.id(),
+                order,
+                deadlineMillis,
+                mOwner.term(),
+                reply -> handleStartReply(run, reply));
     }
 
     /** Returns the time on the worker's clock until which it may carry out an order sent now. */
@@ -584,16 +485,16 @@
 
     /** Returns why a start order must not be passed on, or null if it may be. */
     private String refusalReason(NodeMessage.Start message) {
-        if (mWorker == null || !mWorker.id().equals(message.worker())) {
+        if (!mWorker.is(message.worker())) {
             return "the order is for another worker";
         }
-        if (!mAttributesKnown) {
+        if (!mWorker.attributesKnown()) {
             return "the worker has restarted and not reported its attributes";
         }
-        if (!mWorkerAnswers) {
+        if (!mWorker.answers()) {
             return "the worker has not answered the last lease renewal";
         }
-        if (mWorker.draining() || mDeparture != null) {
+        if (mWorker.info().draining() || mWorker.isLeaving()) {
             return "the worker is draining";
         }
         if (!mAuthority.isRecent(message.permit(), mSettings.maxPermitAge())) {
@@ -624,8 +525,9 @@
         switch (reply) {
             case StartReply.Started started -> {
                 run.markStarted(mClock.monotonicMillis());
-                reportStarted(run, started);
-                mThrottle.apply(mWorker.id(), mTerm);
+                mRunLog.started(run, mWorker.id(), started);
+                mOwner.reportStarted(run);
+                mThrottle.apply(mWorker.id(), mOwner.term());
             }
             case StartReply.Refused refused -> {
                 boolean atCapacity =
@@ -644,14 +546,14 @@
     /** Handles that the answer to a start shows another incarnation than the order was sent to. */
     private void detectRestart(Run run, StartReply.Started reply) {
         WorkerId orderedFrom = run.mOrderedFrom;
-        if (mWorker == null || !mWorker.id().equals(orderedFrom)) {
+        if (!mWorker.is(orderedFrom)) {
             return;
         }
         long clockMillis = reply.workerClockMillis().orElse(Long.MAX_VALUE);
         if (reply.incarnation().orElse(orderedFrom.incarnation()) > orderedFrom.incarnation()) {
             handleRestart(reply.incarnation().getAsLong());
         } else if (clockMillis < run.mClockReadingMillis) {
-            mWorkerAnswers = false;
+            mWorker.setAnswers(false);
             mAuthority.excessLease().recordDeadlineTaken();
             restartPolling();
         }
@@ -660,24 +562,16 @@
     private void reportNotStarted(Run run, StartOutcome outcome, String reason) {
         mRuns.remove(run);
         mRunLog.notStarted(run, reason);
-        sendToOwner(new NodeMessage.Outcome(run.mTask, run.mNumber, outcome));
-    }
-
-    /** Reports a start; the owner waits for nothing that depends on it, so it is not urgent. */
-    private void reportStarted(Run run, StartReply.Started reply) {
-        mRunLog.started(run, mWorker.id(), reply);
-        if (mOwner != null && mReported == Reported.ALL_RUNS) {
-            mOwner.sendLater(new NodeMessage.Outcome(run.mTask, run.mNumber, StartOutcome.STARTED));
-        }
+        mOwner.reportOutcome(run.mTask, run.mNumber, outcome);
     }
 
     private void reportOutcome(StartOrder order, StartOutcome outcome, String reason) {
         mRunLog.refused(order, outcome, reason);
-        sendToOwner(new NodeMessage.Outcome(order.task(), order.run(), outcome));
+        mOwner.reportOutcome(order.task(), order.run(), outcome);
     }
 
     private void stopRun(TaskName task, long number) {
-        if (mWorker == null) {
+        if (!mWorker.isPresent()) {
             return;
         }
         Run run = mRuns.find(task, number);
@@ -685,7 +579,7 @@
             run.mStopping = true;
             run.mStopSentAtMillis = mClock.monotonicMillis();
         }
-        mWorkerClient.stop(mWorker.id(), task, number, mTerm, accepted -> {});
+        mWorkerClient.stop(mWorker.id(), task, number, mOwner.term(), accepted -> {});
     }
 
     private void handleDescribe(NodeMessage.Describe message) {
@@ -696,7 +590,7 @@
     }
 
     private void handleEndsStored(NodeMessage.EndsStored stored) {
-        if (mWorker == null || !mWorker.id().equals(stored.worker())) {
+        if (!mWorker.is(stored.worker())) {
             return;
         }
         mRuns.acknowledge(stored.number());
@@ -708,16 +602,14 @@
     /** Pings the owner, reports progress, repeats unfinished stops and checks the lease. */
     private void tick() {
         mTickCount++;
-        sendPing();
-        if (mNoWorkerReason == null && mAuthority.allLeasesExpired()) {
+        mOwner.sendPing();
+        if (!mOwner.noWorkerStated() && mAuthority.allLeasesExpired()) {
             handleLeaseExpiry();
         }
-        mAuthority.excessLease().update(isIdle());
+        mAuthority.excessLease().update(mWorker.isIdle());
         stopOverdueRuns();
-        if (mReported == Reported.ALL_RUNS && mTickCount % 2 == 0) {
-            sendToOwner(
-                    new NodeMessage.Progress(
-                            mListsGrant, mWorker.id(), mRuns.starting(), mRuns.running()));
+        if (mTickCount % 2 == 0) {
+            mOwner.reportProgress();
         }
         long nowMillis = mClock.monotonicMillis();
         mRuns.runs().stream()
@@ -730,18 +622,10 @@
                 .forEach(run -> stopRun(run.mTask, run.mNumber));
     }
 
-    /** Returns whether recent lists show that nothing runs and no end is left to be stored. */
-    private boolean isIdle() {
-        return mRuns.runs().isEmpty()
-                && mRuns.unacknowledged().isEmpty()
-                && mClock.monotonicMillis() - mListsRequestedAtMillis
-                        <= MAX_IDLE_LIST_AGE.toMillis();
-    }
-
     /** Stops the runs that the worker may hold for longer than the owner counts with. */
     private void stopOverdueRuns() {
         List<Run> running = mRuns.runs().stream().filter(run -> !run.mStopping).toList();
-        if (mWorker != null && mAuthority.excessLease().isOverdue() && !running.isEmpty()) {
+        if (mWorker.isPresent() && mAuthority.excessLease().isOverdue() && !running.isEmpty()) {
             mLog.record("worker.overdue", mWorker.id(), "runs", running.size());
             running.forEach(run -> stopRun(run.mTask, run.mNumber));
         }
@@ -751,87 +635,38 @@
     private void handleLeaseExpiry() {
         mLog.record(
                 "worker.lost",
-                mWorker == null ? "unknown" : mWorker.id(),
+                mWorker.isPresent() ? mWorker.id() : "unknown",
                 "silent_ms",
                 mAuthority.silence().toMillis());
-        if (mDeparture != null) {
+        if (mWorker.isLeaving()) {
             completeDeparture("its lease has ended");
             return;
         }
         mRuns.runs().clear();
-        mReported = Reported.NOTHING;
-        stateNoWorker(
-                mWorker == null
-                        ? "no worker has answered for the time of a lease"
-                        : "silent until its lease ended");
-    }
-
-    private void stateNoWorker(String reason) {
-        mNoWorkerReason = reason;
-        sendToOwner(new NodeMessage.NoWorker(reason));
-    }
-
-    private void sendPing() {
-        if (mOwner != null) {
-            mOwner.send(new NodeMessage.Ping(mAuthority.nextRequest(), leasedWorker()));
-        }
-    }
-
-    /**
-     * Returns the worker whose lease a grant of the owner can extend. An owner that granted pings
-     * for a worker which this process has never reached would keep its runs forever.
-     */
-    private Optional<WorkerId> leasedWorker() {
-        boolean leased =
-                mNoWorkerReason == null
-                        && mDeparture == null
-                        && !mAuthority.excessLease().isOverdue();
-        return mWorker != null && leased && mAuthority.hasReading()
-                ? Optional.of(mWorker.id())
-                : Optional.empty();
+        mOwner.stateNoWorker(
+                mWorker.isPresent()
+                        ? "silent until its lease ended"
+                        : "no worker has answered for the time of a lease");
     }
 
-    /** Sends a message that follows up on the full report; drops it before that report is sent. */
-    private void sendAfterReport(NodeMessage message) {
-        if (mReported == Reported.ALL_RUNS) {
-            sendToOwner(message);
-        }
-    }
-
-    private void sendToOwner(NodeMessage message) {
-        if (mOwner != null) {
-            mOwner.send(message);
-        }
-    }
-
-    /**
-     * Circumstances under which the worker's lists were requested.
-     *
-     * @param term term of the owner
-     * @param sentAtMillis monotonic time in milliseconds
-     * @param newestGrant number of the newest request that the owner had granted
-     */
-    private record ListRequest(long term, long sentAtMillis, long newestGrant) {}
-
     /** Accepts the worker that has answered a call as the one of this VM. */
     private final class ProbeListener implements WorkerProbe.Listener {
         @Override
         public void answered(StatusReport report) {
             WorkerInfo info = report.worker();
-            if (mWorker != null && mWorker.id().equals(info.id())) {
+            if (mWorker.is(info.id())) {
                 updateWorker(report);
                 return;
             }
             mLog.record("worker.joined", info.id(), "service", info.service());
-            replaceWorker(info);
-            mAttributesKnown = true;
-            mReportSequence = report.sequence();
+            mWorker.replace(report);
+            handleReplacement();
             restartPolling();
         }
 
         @Override
         public void fenced(WorkerId worker, long term) {
-            handleFenced(worker, term);
+            mOwner.handleFenced(worker, term);
         }
     }
 }
