Agent: orders, renewals and the change of workers in classes of their own

AgentSession still decided on renewals, starts, stops, restarts, departures and the end of the lease, 660 lines in which each method could change the state of every other duty.

LeaseRenewals sends the renewals and keeps the state of the series. StartOrders passes on start orders and holds those without an answer. StopOrders sends and repeats stops; the choice of the runs that are not stopping was written twice and is one method now. WorkerLifecycle alone sets another worker: one that joins, restarts, leaves or is lost. AgentSession takes the events from outside, applies the worker's lists and runs the tick.

--- a/node/src/main/java/org/knapweedbank/node/agent/WorkerProbe.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/WorkerProbe.java
@@ -136,7 +136,7 @@
 
     private void handleSilence(int series, WorkerId worker, String reason) {
         mLog.record("worker.silent", worker, "cause", reason);
-        mTimers.after(AgentSession.RETRY_DELAY, () -> repeat(series));
+        mTimers.after(LeaseRenewals.RETRY_DELAY, () -> repeat(series));
     }
 
     private void reject(WorkerId worker, Object answeredBy) {
