An agent that states that nothing runs carries out no earlier order

What callers would see: tasks that run again after they have completed.

Cause: a start order and the agent's statement that nothing runs on its VM cross on a slow link. The lease of a silent worker ends and the agent states it; the worker answers again; the order, sent before, arrives with a permit that is still recent and is carried out. The owner gets the statement, gives the run up ("task.lost", not confirmed) and orders the task again.

Change: with the statement the agent discards its requests to the owner. An order refers to one of them, so those that were sent before are refused as not permitted, and a late grant extends no lease.

Result: startOrderedBeforeStatementThatNothingRunsIsNotCarriedOut fails before and passes now; all tests of node pass.

--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
@@ -115,6 +115,14 @@
         return mNewestGrant;
     }
 
+    /**
+     * Discards all requests to the owner, so that no order that refers to one of them is recent and
+     * no later grant of one extends a lease.
+     */
+    void discardRequests() {
+        mRequests.clear();
+    }
+
     /**
      * Returns whether a request is recent by both the monotonic and the wall clock, because one of
      * them may stand still while the VM is suspended.
--- a/node/src/main/java/org/knapweedbank/node/agent/OwnerChannel.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/OwnerChannel.java
@@ -68,9 +68,13 @@
         mNoWorkerReason = null;
     }
 
-    /** States that nothing runs on the VM. */
+    /**
+     * States that nothing runs on the VM. The owner then gives up the runs that it has ordered
+     * there, so orders that are still under way must not be carried out.
+     */
     void stateNoWorker(String reason) {
         mReported = Reported.NOTHING;
+        mWorker.authority().discardRequests();
         mNoWorkerReason = reason;
         send(new NodeMessage.NoWorker(reason));
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
@@ -60,6 +60,15 @@
         check(seed);
     }
 
+    /**
+     * Guards against a start order that crosses the agent's statement that nothing runs on its VM,
+     * and is carried out by a worker that answers again.
+     */
+    @Test
+    void startOrderedBeforeStatementThatNothingRunsIsNotCarriedOut() {
+        check(FaultPlan.draw(49, FaultKind.ALL));
+    }
+
     /**
      * Guards against a progress message that repeats a list from before a start of the former agent
      * process.
