Admission: jobs on idle room do not raise the rate of the overloaded VMs

Cause: rate and backlog are kept for the whole pool.

Change: a job that is admitted on idle room with room for all tasks of each step counts neither in the rate nor in the backlog or the arrivals of its pool until one of its tasks waits. A job of which only some tasks have room counts as before.

Evidence: AdmissionIdleRoomTest.jobsOnIdleRoomDoNotRaiseTheRate failed without the mark (22,000 thousandths of a core instead of at most 16,000).

--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionController.java
@@ -7,7 +7,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
 /**
  * Admission of jobs during one ownership term. Keeps the recent samples of each pool and the
@@ -65,23 +65,26 @@
      *
      * @param demand what the job needs
      * @param now monotonic time in milliseconds
-     * @param fitsIdleRoom tells whether tasks of the job could start now on room that no waiting
-     *     task can use. Such a job does not wait for the work before it, so it is not refused.
+     * @param idleRoom tells how much of the job could start now on room that no waiting task can
+     *     use. A job that could start does not wait for the work before it, so it is not refused.
      * @return the decision
      */
-    public AdmissionDecision decide(JobDemand<U> demand, long now, BooleanSupplier fitsIdleRoom) {
+    public AdmissionDecision decide(JobDemand<U> demand, long now, Supplier<IdleRoomFit> idleRoom) {
         Optional<RefusedJob<U>> earlier = mRefusedJobs.find(demand.id());
         if (earlier.isPresent() && isRecentlyRefused(earlier.get(), now)) {
             return earlier.get().refusal();
         }
-        AdmissionDecision decision = judge(demand, earlier, now);
-        if (decision instanceof AdmissionDecision.Refuse && fitsIdleRoom.getAsBoolean()) {
-            decision = new AdmissionDecision.Admit();
-        }
+        AdmissionDecision decision =
+                switch (judge(demand, earlier, now)) {
+                    case AdmissionDecision.Admit admit -> admit;
+                    case AdmissionDecision.Refuse refuse -> admitOnIdleRoom(idleRoom.get(), refuse);
+                };
         switch (decision) {
             case AdmissionDecision.Admit admit -> {
                 mRefusedJobs.remove(demand.id());
-                history(demand.pool()).addAdmitted(now, demand);
+                if (admit.queued()) {
+                    history(demand.pool()).addAdmitted(now, demand);
+                }
             }
             case AdmissionDecision.Refuse refuse -> record(demand, earlier, now, refuse);
         }
@@ -98,6 +101,15 @@
         return now - job.refusedAt() < AdmissionRule.MIN_RETRY_AFTER.toMillis();
     }
 
+    private static AdmissionDecision admitOnIdleRoom(
+            IdleRoomFit fit, AdmissionDecision.Refuse refuse) {
+        return switch (fit) {
+            case NONE -> refuse;
+            case SOME_TASKS -> new AdmissionDecision.Admit();
+            case ALL_TASKS -> new AdmissionDecision.Admit(false);
+        };
+    }
+
     private AdmissionDecision judge(
             JobDemand<U> demand, Optional<RefusedJob<U>> earlier, long now) {
         PoolHistory<U> history = history(demand.pool());
--- a/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionDecision.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/admission/AdmissionDecision.java
@@ -4,8 +4,18 @@
 
 /** Decision about a submitted job. */
 public sealed interface AdmissionDecision {
-    /** The job is admitted. */
-    record Admit() implements AdmissionDecision {}
+    /**
+     * The job is admitted.
+     *
+     * @param queued whether it counts as work of its pool; it does not if all of its tasks have
+     *     room on VMs for which no other work of the pool waits
+     */
+    record Admit(boolean queued) implements AdmissionDecision {
+        /** Admits a job that counts. */
+        public Admit() {
+            this(true);
+        }
+    }
 
     /**
      * The job is refused, since it would end after its late limit.
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -136,8 +136,11 @@
         }
         JobDemand<JobUrgency> demand = demand(job);
         return switch (mController.decide(
-                demand, mState.now(), () -> mIdleRoom.fits(job, demand.pool().kind()))) {
-            case AdmissionDecision.Admit admit -> Optional.empty();
+                demand, mState.now(), () -> mIdleRoom.fit(job, demand.pool().kind()))) {
+            case AdmissionDecision.Admit admit -> {
+                job.mOnIdleRoom = !admit.queued();
+                yield Optional.empty();
+            }
             case AdmissionDecision.Refuse refuse -> Optional.of(refuse(job, refuse));
         };
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/IdleRoom.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/IdleRoom.java
@@ -11,6 +11,7 @@
 import java.util.stream.Collectors;
 import org.knapweedbank.jobs.PlacementRule;
 import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.admission.IdleRoomFit;
 import org.knapweedbank.jobs.admission.WorkKind;
 import org.knapweedbank.model.Resources;
 
@@ -59,10 +60,10 @@
     }
 
     /**
-     * Returns whether each step of a kind that a new job has could start a task now on idle room.
+     * Returns how much of each step of a kind that a new job has could start now on idle room.
      * Later steps count as well: if they only run where work waits, the job waits with that work.
      */
-    boolean fits(Job job, WorkKind kind) {
+    IdleRoomFit fit(Job job, WorkKind kind) {
         List<Task> tasks =
                 job.steps()
                         .filter(step -> JobWork.kind(step) == kind)
@@ -70,7 +71,11 @@
                         .toList();
         List<IdleVmRoom> now = roomNow();
         // The first test is cheap, and mostly fails when the VMs are overloaded.
-        return haveRoom(tasks, now) && haveRoom(tasks, left(now));
+        if (!haveRoom(tasks, now) || !haveRoom(tasks, left(now))) {
+            return IdleRoomFit.NONE;
+        }
+        boolean all = job.steps().allMatch(step -> haveRoomForAll(step, left(now)));
+        return all ? IdleRoomFit.ALL_TASKS : IdleRoomFit.SOME_TASKS;
     }
 
     /** Takes the room for the first tasks of a job that has been admitted. */
@@ -86,6 +91,15 @@
         return rooms.stream().anyMatch(room -> room.admits(task, mState.mPressureEstimator));
     }
 
+    private boolean haveRoomForAll(Step step, List<IdleVmRoom> rooms) {
+        Task task = step.mTasks.getFirst();
+        int count = step.mWaitingTasks;
+        for (IdleVmRoom room : rooms) {
+            count -= room.count(task, count, mState.mPressureEstimator);
+        }
+        return count == 0;
+    }
+
     /**
      * Returns the room that waiting tasks leave, as found before if no VM has been lost since.
      *
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/IdleVmRoom.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/IdleVmRoom.java
@@ -57,6 +57,17 @@
         return taken;
     }
 
+    /** Returns how many tasks of a step of a new job could start on the VM, up to a maximum. */
+    int count(Task task, int max, PressureEstimator pressureEstimator) {
+        if (!admits(task, pressureEstimator)) {
+            return 0;
+        }
+        FreeRoom free = mFree;
+        int count = take(task, max, pressureEstimator);
+        mFree = free;
+        return count;
+    }
+
     /**
      * Notes that a task waits, for which there is no room now. It gets what is free on a VM that it
      * could run on as soon as that is enough.
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -28,6 +28,13 @@
     boolean mCancelled;
     boolean mFailed;
 
+    /**
+     * True if all tasks of the job had room on VMs for which no work waited, when it was admitted
+     * under overload, and none has waited since. Its work does not count in the rate and backlog of
+     * its pool, which are those of the work that waits.
+     */
+    boolean mOnIdleRoom;
+
     /** True once a task of the job has started. */
     boolean mStarted;
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/LoadSampler.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/LoadSampler.java
@@ -58,10 +58,17 @@
                 }
                 if (step.mWaitingTasks > 0) {
                     Pool pool = pool(JobWork.pool(step));
-                    pool.mWaiting = pool.mWaiting || mWaitingWork.waits(step);
+                    // Jobs on idle room are always examined, to count them once they wait.
+                    if ((!pool.mWaiting || job.mOnIdleRoom) && mWaitingWork.waits(step)) {
+                        pool.mWaiting = true;
+                        job.mOnIdleRoom = false;
+                    }
                 }
             }
         }
+        if (job.mOnIdleRoom) {
+            return;
+        }
         add(job, WorkKind.FILLER, filler);
         add(job, WorkKind.RESERVED, reserved);
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WorkMeasurement.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WorkMeasurement.java
@@ -67,9 +67,9 @@
         return measured < 0 ? 0 : percent - measured;
     }
 
-    /** Adds work of a step, in percent of one task. */
+    /** Adds work of a step, in percent of one task, unless its job runs on idle room. */
     private void add(Step step, int percent) {
-        if (percent > 0) {
+        if (percent > 0 && !step.mJob.mOnIdleRoom) {
             double coreMillis =
                     JobWork.taskCoreMillis(step, mState.mRunTimeEstimator) * percent / DONE_PERCENT;
             mCoreMillis.merge(JobWork.pool(step), coreMillis, Double::sum);
--- a/jobs/src/test/java/org/knapweedbank/jobs/admission/AdmissionControllerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/admission/AdmissionControllerTest.java
@@ -27,7 +27,7 @@
     }
 
     private long mNow;
-    private boolean mFitsIdleRoom;
+    private IdleRoomFit mIdleRoomFit = IdleRoomFit.NONE;
 
     private final AdmissionController<Rank> mController =
             new AdmissionController<>(
@@ -55,7 +55,7 @@
                         Duration.ofSeconds(4),
                         Duration.ofSeconds(12)),
                 mNow,
-                () -> mFitsIdleRoom);
+                () -> mIdleRoomFit);
     }
 
     private boolean admits(String id, int rank) {
@@ -168,23 +168,33 @@
 
     /**
      * Guards against the refusal of a job that starts at once, and against one that does not count
-     * as work before later ones.
+     * as work before later ones although some of its tasks wait.
      */
     @Test
-    void jobThatFitsIdleRoomIsAdmitted() {
+    void jobThatStartsOnIdleRoomIsAdmitted() {
         sample(20_000, 10, 120);
-        mFitsIdleRoom = true;
-        assertThat(submit("a", 1, 40)).isInstanceOf(AdmissionDecision.Admit.class);
-        mFitsIdleRoom = false;
+        mIdleRoomFit = IdleRoomFit.SOME_TASKS;
+        assertThat(submit("a", 1, 40)).isEqualTo(new AdmissionDecision.Admit(true));
+        mIdleRoomFit = IdleRoomFit.NONE;
         assertThat(retryMillis("b")).isEqualTo(6_000);
     }
 
+    /** Guards against refusals because of a job that does not use the VMs of the waiting work. */
+    @Test
+    void jobThatFitsIdleRoomIsNoWorkBeforeLaterOnes() {
+        sample(20_000, 10, 120);
+        mIdleRoomFit = IdleRoomFit.ALL_TASKS;
+        assertThat(submit("a", 1, 40)).isEqualTo(new AdmissionDecision.Admit(false));
+        mIdleRoomFit = IdleRoomFit.NONE;
+        assertThat(retryMillis("b")).isEqualTo(2_000);
+    }
+
     /** Guards against a copy that starts while the refusal of another copy is on its way. */
     @Test
     void copyOfARefusedSubmissionIsRefusedAlthoughItFitsIdleRoom() {
         sample(20_000, 10, 120);
         assertThat(admits("a", 1)).isFalse();
-        mFitsIdleRoom = true;
+        mIdleRoomFit = IdleRoomFit.SOME_TASKS;
         assertThat(admits("a", 1)).isFalse();
         sample(1_000, 10, 120);
         assertThat(admits("a", 1)).isTrue();
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/AdmissionIdleRoomTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/AdmissionIdleRoomTest.java
@@ -129,4 +129,31 @@
         mSimulation.endAllBetweenRounds();
         assertThat(countAdmitted(10, SMALL_TASKS)).isEqualTo(0);
     }
+
+    /**
+     * Guards against jobs for the overloaded VM that are admitted and end after their late limit,
+     * as jobs that were admitted on the idle VMs raise the rate.
+     */
+    @Test
+    void jobsOnIdleRoomDoNotRaiseTheRate() {
+        mFixture.addVm("large", 16_000);
+        StepSpec small = OwnerFixture.step(12, 1_000, StepTraits.BATCH);
+        int admitted = 0;
+        for (int second = 0; second < 30; second++) {
+            for (int i = 0; i < 3; i++) {
+                mFixture.trySubmit(second + "-" + i, LARGE_TASK);
+            }
+            admitted += isAdmitted("small-" + second, small) ? 1 : 0;
+            mSimulation.advance(Duration.ofSeconds(1));
+            mFixture.answerAgent("large");
+        }
+        assertThat(admitted).isEqualTo(30);
+        long milliCpu =
+                (long)
+                        mFixture.logLines("admission.refused")
+                                .getLast()
+                                .mFields()
+                                .get("rate_milli_cpu");
+        assertThat(milliCpu).isAtMost(16_000);
+    }
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/IdleRoomTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/IdleRoomTest.java
@@ -12,6 +12,7 @@
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.admission.IdleRoomFit;
 import org.knapweedbank.jobs.admission.WorkKind;
 import org.knapweedbank.jobs.reservation.Hold;
 import org.knapweedbank.jobs.reservation.Reservation;
@@ -75,7 +76,7 @@
 
     private boolean fits(StepSpec... steps) {
         WorkKind kind = steps[0].traits().filler() ? WorkKind.FILLER : WorkKind.RESERVED;
-        return mIdleRoom.fits(newJob(steps), kind);
+        return mIdleRoom.fit(newJob(steps), kind) != IdleRoomFit.NONE;
     }
 
     /** Guards against admission on room about which no round of placement has decided. */
@@ -215,6 +216,16 @@
         assertThat(fits(batch(1, 1), large)).isFalse();
     }
 
+    /** Guards against a job that counts as one that needs no queue although some tasks wait. */
+    @Test
+    void allTasksOfEachStepFitOrOnlySome() {
+        mIdleRoom.handleRound();
+        Job all = newJob(batch(8, 1), OwnerFixture.step(2, 4 * CORE, StepTraits.BATCH, 0));
+        assertThat(mIdleRoom.fit(all, WorkKind.RESERVED)).isEqualTo(IdleRoomFit.ALL_TASKS);
+        Job some = newJob(batch(8, 1), OwnerFixture.step(3, 4 * CORE, StepTraits.BATCH, 0));
+        assertThat(mIdleRoom.fit(some, WorkKind.RESERVED)).isEqualTo(IdleRoomFit.SOME_TASKS);
+    }
+
     /** Guards against fillers that are judged by reserved processor time instead of used time. */
     @Test
     void fillersNeedProcessorTimeThatNoFillerRequests() {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
@@ -12,6 +12,7 @@
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.admission.PoolSample;
 import org.knapweedbank.jobs.admission.WorkKind;
 import org.knapweedbank.jobs.admission.WorkPool;
 import org.knapweedbank.model.DaemonId;
@@ -118,4 +119,31 @@
         large.mStep.mJob.markWritten(1, 1, 0);
         assertThat(waitingWork.waits(large.mStep)).isFalse();
     }
+
+    /** Guards against a rate that contains work on VMs for which no work waits. */
+    @Test
+    void workOnIdleRoomDoesNotCount() {
+        mTask.mStep.mJob.mOnIdleRoom = true;
+        report(mTask, 1, 0);
+        mMeasurement.take();
+        report(mTask, 1, 70);
+        assertThat(mMeasurement.take()).isEmpty();
+    }
+
+    /** Guards against a backlog that lacks jobs which wait after all, such as after a lost VM. */
+    @Test
+    void jobOnIdleRoomCountsFromTheTimeItWaits() {
+        mVm.mWorker = OwnerFixture.worker("a", 1, 4_000, false);
+        Job job = mTask.mStep.mJob;
+        job.mOnIdleRoom = true;
+        assertThat(sample().unfinished()).isEmpty();
+        assertThat(job.mOnIdleRoom).isTrue();
+        job.markWritten(1, 1, 0);
+        assertThat(sample().unfinished()).hasSize(1);
+        assertThat(job.mOnIdleRoom).isFalse();
+    }
+
+    private PoolSample<JobUrgency> sample() {
+        return new LoadSampler(mState, new WaitingWork(mState, false)).sample(Map.of()).get(POOL);
+    }
 }
