--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -66,7 +66,7 @@
         mFillerMover.startRound();
         mRoomReserver.startRound();
         boolean hasUnresolvedVms = mVmTracker.hasUnresolvedVms();
-        List<Vm> usable = mState.mVms.values().stream().filter(mAvailability::isOpen).toList();
+        List<Vm> usable = openVms();
         if (!hasUnresolvedVms) {
             mConsolidator.advance(trusted(usable));
         }
@@ -155,6 +155,15 @@
         return mState.ownershipConfirmed() && age <= mState.mSettings.maxViewAge().toMillis();
     }
 
+    /** Returns the VMs that may get start orders now and are not suspected to fail them. */
+    List<Vm> trustedVms() {
+        return trusted(openVms());
+    }
+
+    private List<Vm> openVms() {
+        return mState.mVms.values().stream().filter(mAvailability::isOpen).toList();
+    }
+
     private static boolean hasReadyTasks(Job job) {
         return job.steps().anyMatch(Step::hasReadyTasks);
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHold.java
@@ -66,7 +66,7 @@
                 && mTask.waiting()
                 && !job.finished()
                 && !overdue(task)
-                && !mHold.admits(task.mStep.mSpec.reservation(), () -> latestEnd(task))
+                && !admits(task)
                 && mState.urgency(job).compareTo(mState.urgency(otherJob)) < 0;
     }
 
@@ -81,6 +81,11 @@
                 && task.mWaitingSince <= mState.now() - MAX_LONG_RUNNING_WAIT_MILLIS;
     }
 
+    /** Returns whether a task leaves the reserved room, or ends before it is needed. */
+    boolean admits(Task task) {
+        return mHold.admits(task.mStep.mSpec.reservation(), () -> latestEnd(task));
+    }
+
     /** Takes the start of a task on the VM into account that does not use this reservation. */
     void handleOtherStart(Task task) {
         Resources room = task.mStep.mSpec.reservation();
