Bound what a suspicion costs, by tests of the review

- Long-running tasks that had worked for a minute fail on sound VMs.
The VM takes one start a second until a run has lasted a minute: 9 s until 30 tasks run again, bound 3 s; after a fault of 16 s, 11 of 30 run after 3 s.
- A long-running task that ever failed on another VM counted against no VM any more: it fails on the same faulty VM for 60 s, bound 3 s.
- Faulty batch jobs are more urgent and take each trial: long-running tasks get no start in 30 s.
- The progress of a checkpoint passes for work: a VM that still stands still is trusted again.

Cause: the proof asked for was as long as the failed runs, the trials were one for all, and evidence was left out instead of weighed less.

Change: a run proves the worker sound after 1 s at most. TrialLimiter allows one start in the first second and twice as many in each further one without a failure, apart for batch and long-running tasks. A batch task that has failed elsewhere raises no suspicion but counts against a suspected VM; long-running tasks always count. Work is progress beyond that of the first list. After relapses within 10 s, 2, 4, then 8 runs have to work.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PlacementLimit.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PlacementLimit.java
@@ -17,7 +17,7 @@
     /** The VM keeps the resources for a more urgent task. */
     HELD,
 
-    /** The VM is suspected to fail its tasks, and its last trial has only just begun or failed. */
+    /** The VM is suspected to fail its tasks, and does not take this one as a trial yet. */
     SUSPECTED,
 
     /** The reservation of the task does not fit. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Run.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Run.java
@@ -18,6 +18,15 @@
     /** True once the worker is known to have started the run. */
     boolean mStartConfirmed;
 
+    /** True once the run has counted as evidence that the worker is sound. */
+    boolean mCountedAsWorking;
+
+    /**
+     * Progress in percent from which the run began; -1 until its first list if it resumed from a
+     * checkpoint.
+     */
+    int mInitialPercent;
+
     /** True if a former owner started the run, so that its run time is not known. */
     boolean mAdopted;
 
@@ -69,6 +78,19 @@
         mOrderedAt = now;
         mLastProgressAt = now;
         mCpuReportedAt = now;
+        mInitialPercent = task.mCheckpoint.isEmpty() ? 0 : -1;
+    }
+
+    /** Records the first progress that the worker lists for the run. */
+    void recordInitialPercent(int percent) {
+        if (mInitialPercent < 0) {
+            mInitialPercent = percent;
+        }
+    }
+
+    /** Returns whether the run has made progress. */
+    boolean works() {
+        return mInitialPercent >= 0 && mProgressPercent > mInitialPercent;
     }
 
     /**
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -52,7 +52,7 @@
     void start(Task task, Vm vm) {
         long runNumber = Math.max(task.mLastRunNumber, (mState.mTerm - 1) * RUNS_PER_TERM) + 1;
         Run run = createRun(task, vm, runNumber);
-        vm.mHealth.recordStart();
+        vm.mHealth.recordStart(task);
         if (task.mMeasuredPercent < 0 && task.mCheckpoint.isEmpty()) {
             task.mMeasuredPercent = 0;
         }
@@ -192,9 +192,8 @@
         long previousVersion = job.version();
         job.mStarted = true;
         Run run = task.mRun;
-        long orderedAt = mState.now();
-        if (run != null && run.mVm == vm && run.mNumber <= end.run()) {
-            orderedAt = run.mOrderedAt;
+        boolean current = run != null && run.mVm == vm && run.mNumber <= end.run();
+        if (current) {
             release(run);
             if (end.kind() == EndKind.DONE && run.mNumber == end.run()) {
                 observeRunTime(run);
@@ -210,7 +209,7 @@
                 "vm",
                 vm.mAgent.value());
         if (!job.finished() || end.kind() == EndKind.DONE) {
-            applyEnd(vm, task, end, orderedAt);
+            applyEnd(vm, task, end, current ? run : null);
         }
         vm.acknowledgeOnceStored(end.number(), job.version() == previousVersion ? null : job);
     }
@@ -249,17 +248,22 @@
         }
     }
 
-    private void applyEnd(Vm vm, Task task, EndedRun end, long orderedAt) {
+    /**
+     * Applies the end of a run to its task and job.
+     *
+     * @param run the run; null if it was not tracked any more
+     */
+    private void applyEnd(Vm vm, Task task, EndedRun end, Run run) {
         switch (end.kind()) {
-            case DONE -> handleDone(vm, task, orderedAt);
-            case FAILED -> handleFailure(vm, task, end, orderedAt);
+            case DONE -> handleDone(vm, task, run);
+            case FAILED -> handleFailure(vm, task, end, run);
             case STOPPED, LAPSED, BROKEN, ALONE -> {}
         }
         saveCheckpoint(task, end.checkpoint());
     }
 
-    private void handleDone(Vm vm, Task task, long orderedAt) {
-        if (vm.mHealth.recordSuccess(orderedAt)) {
+    private void handleDone(Vm vm, Task task, Run run) {
+        if (run != null && vm.mHealth.recordWork(run, true)) {
             logRecovery(vm, task);
         }
         Step step = task.mStep;
@@ -301,17 +305,23 @@
                 Math.round(job.mUsedCoreMillis));
     }
 
-    private void handleFailure(Vm vm, Task task, EndedRun end, long orderedAt) {
+    /** Returns whether a batch task has failed on another VM before, as those of faulty jobs do. */
+    private static boolean mayBeFaulty(Task task, Vm vm) {
+        return !task.mStep.mSpec.traits().longRunning()
+                && task.mAvoidedVms.stream().anyMatch(agent -> !agent.equals(vm.mAgent));
+    }
+
+    private void handleFailure(Vm vm, Task task, EndedRun end, Run run) {
         Job job = task.mStep.mJob;
         if (task.mDone || !task.mFailedRuns.add(end.run())) {
             return;
         }
-        boolean failedElsewhere = task.mAvoidedVms.stream().anyMatch(id -> !id.equals(vm.mAgent));
+        boolean jobSuspected = mayBeFaulty(task, vm);
         task.mAvoidedVms.add(vm.mAgent);
         int doublings = Math.min(MAX_BACKOFF_DOUBLINGS, task.mFailedRuns.count());
         task.mEarliestStartAt = mState.now() + (RETRY_BACKOFF_MILLIS << doublings);
-        long runMillis = mState.now() - orderedAt;
-        if (!failedElsewhere && vm.mHealth.recordFailure(job.id(), runMillis)) {
+        long runMillis = run == null ? 0 : mState.now() - run.mOrderedAt;
+        if (vm.mHealth.recordFailure(job.id(), runMillis, jobSuspected)) {
             mState.mLog.record(
                     "vm.suspended",
                     vm.mAgent.value(),
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
@@ -6,12 +6,20 @@
 import org.knapweedbank.time.Clock;
 
 /**
- * Suspicion that the worker of a VM fails what it starts, or lets it stand still.
+ * Suspicion that the worker of a VM fails what it starts, or lets it stand still. A suspicion is a
+ * guess, so it delays work but never closes the VM:
  *
- * <p>A suspicion is a guess, so it delays work but never closes the VM: a suspected VM takes one
- * task at a time as a trial, and while it is suspended, only tasks for which no other VM has room.
- * The suspicion ends with the first run that shows the worker to be sound. All times are monotonic,
- * in milliseconds.
+ * <ul>
+ *   <li>A suspected VM takes few tasks at first, and more as long as none fails ({@link
+ *       TrialLimiter}).
+ *   <li>While it is also suspended, for a time that doubles with each suspension, other VMs with
+ *       room go before it.
+ *   <li>For a short time after a failure it takes no task whose failure would end its job.
+ *   <li>Runs that were started later and work end the suspicion: one at first, and twice as many
+ *       each time that the VM is suspected again soon after.
+ * </ul>
+ *
+ * <p>All times are monotonic, in milliseconds.
  */
 final class VmHealth {
     /** Number of distinct jobs whose tasks must have failed without a success in between. */
@@ -24,8 +32,8 @@
     private static final long MAX_SUSPENSION_MILLIS = 8_000;
 
     /**
-     * Minimum time between two trials. It bounds the wait of a task whose only room is on a
-     * suspected VM, and the number of runs that a faulty worker can fail.
+     * Interval of the trials. It bounds the wait of a task whose only room is on a suspected VM,
+     * and the number of runs that a faulty worker can fail.
      */
     private static final long TRIAL_INTERVAL_MILLIS = 1_000;
 
@@ -35,21 +43,41 @@
      */
     private static final long LAST_ATTEMPT_DELAY_MILLIS = 1_500;
 
+    /**
+     * Time for which a run has to work at most to count for the worker. Faulty workers mostly fail
+     * runs soon after the start.
+     */
+    private static final long MAX_PROOF_MILLIS = 1_000;
+
+    /** Maximum number of working runs that end a suspicion. */
+    private static final int MAX_PROOFS = 8;
+
     private final Clock mClock;
 
+    /** Trials of batch tasks. */
+    private final TrialLimiter mBatchTrials = new TrialLimiter(TRIAL_INTERVAL_MILLIS);
+
+    /** Trials of long-running tasks, which faulty batch jobs must not use up. */
+    private final TrialLimiter mLongRunningTrials = new TrialLimiter(TRIAL_INTERVAL_MILLIS);
+
     /** Time of the last failure of each job in the window. */
     private final Map<JobId, Long> mFailedJobs = new HashMap<>();
 
     private boolean mSuspected;
 
-    /** Time of the first evidence after which the VM has not been shown to be sound. */
+    /** Time at which the suspicion arose. */
     private long mSuspectedAt;
 
-    /** Longest time for which a run has lasted that then failed. */
-    private long mLongestFailedMillis;
+    /** Time for which a run has to work to count for the worker. */
+    private long mProofMillis;
 
-    private long mLastFailureAt;
-    private long mNextTrialAt;
+    /** Number of runs that have worked since the suspicion arose. */
+    private int mProofs;
+
+    /** Number of working runs that end the suspicion. */
+    private int mNeededProofs = 1;
+
+    private long mLastFailureAt = Long.MIN_VALUE / 2;
     private long mSuspendedUntil = Long.MIN_VALUE;
     private long mNextSuspensionMillis = INITIAL_SUSPENSION_MILLIS;
 
@@ -57,12 +85,17 @@
         mClock = clock;
     }
 
-    /** Ends a suspicion and forgets all failures, after a restart of the worker. */
+    /** Forgets everything, after a restart of the worker. */
     void reset() {
+        trust();
+        mNeededProofs = 1;
+        mNextSuspensionMillis = INITIAL_SUSPENSION_MILLIS;
+    }
+
+    private void trust() {
         mFailedJobs.clear();
         mSuspected = false;
-        mLongestFailedMillis = 0;
-        mNextSuspensionMillis = INITIAL_SUSPENSION_MILLIS;
+        mProofMillis = 0;
         mSuspendedUntil = Long.MIN_VALUE;
     }
 
@@ -71,21 +104,25 @@
      *
      * @param job the job of the task
      * @param runMillis time for which the run had lasted
+     * @param jobSuspected whether the job itself is likely to be the cause; then the failure raises
+     *     no suspicion, but still counts against a suspected VM
      * @return true if the failure suspends the VM
      */
-    boolean recordFailure(JobId job, long runMillis) {
+    boolean recordFailure(JobId job, long runMillis, boolean jobSuspected) {
         long now = mClock.monotonicMillis();
         forgetOldFailures(now);
-        mFailedJobs.put(job, now);
         mLastFailureAt = now;
-        mLongestFailedMillis = Math.max(mLongestFailedMillis, runMillis);
+        mProofMillis = Math.max(mProofMillis, Math.min(runMillis, MAX_PROOF_MILLIS));
+        if (!jobSuspected) {
+            mFailedJobs.put(job, now);
+        }
         return (mSuspected || mFailedJobs.size() >= MIN_FAILED_JOBS) && suspend();
     }
 
     private void forgetOldFailures(long now) {
         mFailedJobs.values().removeIf(failedAt -> now - failedAt > FAILURE_WINDOW_MILLIS);
-        if (mFailedJobs.isEmpty() && !mSuspected) {
-            mLongestFailedMillis = 0;
+        if (!mSuspected && now - mLastFailureAt > FAILURE_WINDOW_MILLIS) {
+            reset();
         }
     }
 
@@ -95,6 +132,8 @@
      * @return true unless the VM was suspended already
      */
     boolean suspend() {
+        mBatchTrials.restart();
+        mLongRunningTrials.restart();
         if (suspended()) {
             return false;
         }
@@ -102,7 +141,7 @@
         if (!mSuspected) {
             mSuspected = true;
             mSuspectedAt = now;
-            mNextTrialAt = now;
+            mProofs = 0;
         }
         mSuspendedUntil = now + mNextSuspensionMillis;
         mNextSuspensionMillis = Math.min(MAX_SUSPENSION_MILLIS, mNextSuspensionMillis * 2);
@@ -121,10 +160,7 @@
 
     /** Returns whether the VM takes a task now, as a trial if the VM is suspected. */
     boolean accepts(Task task) {
-        if (!mSuspected) {
-            return true;
-        }
-        return mClock.monotonicMillis() >= mNextTrialAt && !spares(task);
+        return !mSuspected || trials(task).allows(mClock.monotonicMillis()) && !spares(task);
     }
 
     /** Returns whether the VM takes no task now whose failure would end its job, as this one. */
@@ -134,40 +170,44 @@
                 && mClock.monotonicMillis() - mLastFailureAt < LAST_ATTEMPT_DELAY_MILLIS;
     }
 
-    /** Records the start of a run. */
-    void recordStart() {
-        mNextTrialAt = mClock.monotonicMillis() + TRIAL_INTERVAL_MILLIS;
+    private TrialLimiter trials(Task task) {
+        return task.mStep.mSpec.traits().longRunning() ? mLongRunningTrials : mBatchTrials;
     }
 
-    /**
-     * Records that a run has completed. A suspected VM is shown to be sound only by a run that was
-     * started after the suspicion arose, as a faulty worker may still complete earlier ones.
-     *
-     * @param orderedAt time at which the run was ordered
-     * @return true if this ends a suspicion
-     */
-    boolean recordSuccess(long orderedAt) {
-        if (mSuspected && orderedAt < mSuspectedAt) {
-            return false;
+    /** Records the start of a run of a task. */
+    void recordStart(Task task) {
+        if (mSuspected) {
+            trials(task).recordStart(mClock.monotonicMillis());
         }
-        boolean suspected = mSuspected;
-        reset();
-        return suspected;
     }
 
     /**
-     * Records that a run works. It shows the VM to be sound if it was started after the suspicion
-     * arose, and has lasted for longer than the runs that have failed.
+     * Records that a run works or has completed. It counts for the worker once, if it was started
+     * after the suspicion arose, since a faulty worker may still complete earlier ones.
      *
-     * @param orderedAt time at which the run was ordered
+     * @param run the run
+     * @param completed whether it has completed
      * @return true if this ends a suspicion
      */
-    boolean recordWork(long orderedAt) {
-        long runMillis = mClock.monotonicMillis() - orderedAt;
-        if (!mSuspected || orderedAt < mSuspectedAt || runMillis <= mLongestFailedMillis) {
+    boolean recordWork(Run run, boolean completed) {
+        if (!mSuspected) {
+            if (completed) {
+                mFailedJobs.clear();
+            }
+            return false;
+        }
+        long runMillis = mClock.monotonicMillis() - run.mOrderedAt;
+        boolean proves = completed || runMillis > mProofMillis;
+        if (run.mCountedAsWorking || run.mOrderedAt < mSuspectedAt || !proves) {
+            return false;
+        }
+        run.mCountedAsWorking = true;
+        mProofs++;
+        if (mProofs < mNeededProofs) {
             return false;
         }
-        reset();
+        mNeededProofs = Math.min(MAX_PROOFS, 2 * mNeededProofs);
+        trust();
         return true;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -440,7 +440,8 @@
         }
         run.mProgressPercent = listedRun.percent();
         run.mCheckpoint = listedRun.checkpoint();
-        if (run.mProgressPercent > 0 && run.mVm.mHealth.recordWork(run.mOrderedAt)) {
+        run.recordInitialPercent(listedRun.percent());
+        if (run.works() && run.mVm.mHealth.recordWork(run, false)) {
             mRunTracker.logRecovery(run.mVm, run.mTask);
         }
     }
