VM list: a VM is open once a stored version holds it

Callers would see tasks that wait although a VM has room: a VM that joined stayed without start orders for as long as the list of VMs changed during each write. Each VM that joins or leaves changes it, and so does, every second, the unreachable time of a VM that a new owner waits for. With a store that answers in a second, all VMs of a new owner stayed closed until the last unreachable VM was given up (7.5 s, or 13.5 s if the former owner may not have known of the new one).

Cause: VmTracker marked VMs as stored only while the list had no unwritten change. VmList now records, for each VM, the version from which on it holds the VM with its present worker as reachable, and compares it with the stored version. An entry that has been in the list since a version is in every later record, so a later owner still knows of each VM that gets orders. An unchanged entry of an earlier owner counts as stored.

Evidence: VmListStorageTest. Before the change two of its tests failed, with no start after five writes of 400 ms and after three of 1 s; after it the task starts once the first write has ended. The other two tests guard the safe side (restarted worker, VM that left and returned) and held before.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
@@ -24,6 +24,12 @@
      */
     private final Map<DaemonId, Long> mReachableVersions = new HashMap<>();
 
+    /**
+     * List version, by VM, from which on the list has held the VM with its present worker as
+     * reachable; none for an unchanged entry of an earlier owner.
+     */
+    private final Map<DaemonId, Long> mListedVersions = new HashMap<>();
+
     private long mVersion;
     private long mStoredVersion;
     private long mRevision;
@@ -130,11 +136,19 @@
         return Map.copyOf(mVms);
     }
 
-    boolean contains(DaemonId agent, WorkerId worker) {
+    private boolean contains(DaemonId agent, WorkerId worker) {
         ListedVm vm = mVms.get(agent);
         return vm != null && vm.worker().equals(worker);
     }
 
+    /**
+     * Returns whether the stored list holds a VM with the given worker. This does not require that
+     * the newest version is stored: while VMs come and go, the list may change during each write.
+     */
+    boolean isStored(DaemonId agent, WorkerId worker) {
+        return contains(agent, worker) && mListedVersions.getOrDefault(agent, 0L) <= mStoredVersion;
+    }
+
     /** Adds a VM that has reported to the owner. */
     void put(DaemonId agent, WorkerId worker) {
         ListedVm vm = new ListedVm(worker, Duration.ZERO);
@@ -143,6 +157,7 @@
             return;
         }
         mVersion++;
+        mListedVersions.put(agent, mVersion);
         if (previous != null && !previous.unreachableFor().isZero()) {
             mReachableVersions.put(agent, mVersion);
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -289,11 +289,11 @@
         }
     }
 
-    /** Marks VMs whose worker is in the stored list, after the list has been written. */
+    /** Marks VMs whose worker is in the stored list, after a version of it has been written. */
     void listStored() {
         mState.mVms.values().stream()
-                .filter(vm -> vm.mWorker != null && !mVmList.dirty())
-                .forEach(vm -> vm.mListedInStore = mVmList.contains(vm.mAgent, vm.mWorker.id()));
+                .filter(vm -> vm.mWorker != null)
+                .forEach(vm -> vm.mListedInStore = mVmList.isStored(vm.mAgent, vm.mWorker.id()));
     }
 
     /** Returns whether a worker is an earlier incarnation than the current one of the VM. */
@@ -334,7 +334,7 @@
     /** Adds a VM with its current worker to the VM list. */
     private void addToList(Vm vm) {
         mVmList.put(vm.mAgent, vm.mWorker.id());
-        vm.mListedInStore = vm.mListedInStore || !mVmList.dirty();
+        vm.mListedInStore = mVmList.isStored(vm.mAgent, vm.mWorker.id());
     }
 
     /** Releases all runs of a VM and removes the VM from the list. */
