Takeover: a task that ran under the new owner does not wait for VMs

Callers would see a long-running task that stays down after a change of the owner: its run is reported to the new owner and ends there, and the next one waits until each VM of the former owner has reported or is given up, which takes 7.5 s, or 13.5 s if the former owner may not have known of the new one.

Cause: Job.mayStart held back all tasks of all loaded jobs while one VM was missing, although a VM is waited for only because it may run a task that nobody has reported. A task runs once at a time, so one that a VM lists as running in a complete report runs on no other VM, and the owner sees its end. Such a task is released at once. All others wait as before: those without a run, those that are only listed as ended or starting, and those in an incomplete report, where a run may have ended unlisted.

Waiting time of held tasks still counts for the owner, not for a backoff.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -247,6 +247,7 @@
         mRevision = revision;
         mWrittenAt = now;
         mLoadedFromStore = true;
+        tasks().forEach(task -> task.mMayRunUnreported = true);
         if (mCancelled || mFailed || complete()) {
             mFinalVersion = mVersion;
             mFinishedAt = now;
@@ -270,7 +271,13 @@
      *     VM that has not reported
      */
     boolean mayStart(boolean hasUnresolvedVms) {
-        return stored() && !(mLoadedFromStore && hasUnresolvedVms);
+        boolean mayRunUnreported = mLoadedFromStore && hasUnresolvedVms;
+        return stored() && (!mayRunUnreported || tasks().anyMatch(Task::knownToWait));
+    }
+
+    /** Records that no earlier owner can have started a task that runs without being reported. */
+    void markAllReported() {
+        tasks().forEach(task -> task.mMayRunUnreported = false);
     }
 
     /** Returns the steps of all occurrences. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Task.java
@@ -32,6 +32,12 @@
      */
     int mMeasuredPercent = -1;
 
+    /**
+     * True while an earlier owner may have started the task on a VM that has not reported to this
+     * owner.
+     */
+    boolean mMayRunUnreported;
+
     /** Number of times that the task was stopped in order to run on another VM. */
     int mMoves;
 
@@ -65,12 +71,17 @@
         return !mDone && mRun == null;
     }
 
+    /** Returns whether the task waits and runs on no VM, whether that has reported or not. */
+    boolean knownToWait() {
+        return waiting() && !mMayRunUnreported;
+    }
+
     /**
-     * Returns whether the task waits and its backoff is over.
+     * Returns whether the task is known to wait and its backoff is over.
      *
      * @param now monotonic time in milliseconds
      */
     boolean mayStart(long now) {
-        return waiting() && now >= mEarliestStartAt;
+        return knownToWait() && now >= mEarliestStartAt;
     }
 }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -60,6 +60,9 @@
      */
     private final Duration mFormerOwnerDelay;
 
+    /** True until all tasks of earlier owners are known to run on no VM that has not reported. */
+    private boolean mMayRunUnreported = true;
+
     /** Monotonic time in milliseconds of the last search for unreachable VMs. */
     private long mUnreachableCheckedAt = Long.MIN_VALUE / 2;
 
@@ -137,6 +140,7 @@
             Stream<RunStatus> present =
                     Stream.concat(report.starting().stream(), report.running().stream());
             releaseAbsent(vm, taskNames(present), coverage);
+            report.running().forEach(listedRun -> markReported(vm, listedRun));
         }
         vm.updateStarvedFillers();
         vm.mRuns.values().forEach(this::sendProfile);
@@ -168,6 +172,19 @@
         }
     }
 
+    /**
+     * Records that a task runs on no other VM, as it runs on this one by a complete report: it has
+     * at most one run at a time. It need not wait for the other VMs when this run ends. An
+     * incomplete report does not show this, since a run in it may have ended.
+     */
+    private void markReported(Vm vm, RunStatus listedRun) {
+        Task task = mState.findTask(listedRun.task());
+        Run run = task == null ? null : task.mRun;
+        if (run != null && run.mVm == vm && run.mNumber == listedRun.run()) {
+            task.mMayRunUnreported = false;
+        }
+    }
+
     private void logReport(Vm vm, AgentReport report, OrderCoverage coverage) {
         mState.mLog.record(
                 "vm.report",
@@ -257,6 +274,10 @@
      * last.
      */
     void removeUnreachable() {
+        if (mMayRunUnreported && !hasUnresolvedVms()) {
+            mMayRunUnreported = false;
+            mState.jobs().forEach(Job::markAllReported);
+        }
         if (mState.now() - mUnreachableCheckedAt < UNREACHABLE_CHECK_MILLIS) {
             return;
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
@@ -93,14 +93,16 @@
 
     /**
      * Returns what prevents the start of the first waiting task that is not held back after a
-     * failure; the placement considers the tasks of a step in the same order.
+     * failure; the placement considers the tasks of a step in the same order. A task that may still
+     * run on a VM which has not reported waits for the owner.
      */
     private String findCause(Step step, Function<Task, PlacementLimit> limits) {
+        boolean unreported = step.mTasks.stream().anyMatch(t -> t.waiting() && !t.knownToWait());
         return step.mTasks.stream()
                 .filter(task -> task.mayStart(mState.now()))
                 .findFirst()
                 .map(limits)
                 .map(limit -> limit == PlacementLimit.NONE ? OWNER : limit.name())
-                .orElse(BACKOFF);
+                .orElse(unreported ? OWNER : BACKOFF);
     }
 }
