--- /dev/null
+++ b/node/src/test/java/org/knapweedbank/node/entry/LongRunningTaskTest.java
@@ -0,0 +1,267 @@
+package org.knapweedbank.node.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.DecisionLog;
+import org.knapweedbank.jobs.JobQueue;
+import org.knapweedbank.jobs.JobSubmission;
+import org.knapweedbank.jobs.PlacementRule;
+import org.knapweedbank.jobs.QueueKey;
+import org.knapweedbank.jobs.StepSpec;
+import org.knapweedbank.jobs.StepTraits;
+import org.knapweedbank.jobs.TaskName;
+import org.knapweedbank.jobs.Timetable;
+import org.knapweedbank.jobs.owner.JobOwner;
+import org.knapweedbank.jobs.owner.OwnerSettings;
+import org.knapweedbank.jobs.owner.SchedulingSettings;
+import org.knapweedbank.jobs.owner.Takeover;
+import org.knapweedbank.model.DaemonId;
+import org.knapweedbank.model.JobId;
+import org.knapweedbank.model.Resources;
+import org.knapweedbank.node.CallRequest;
+import org.knapweedbank.node.ManualTimers;
+import org.knapweedbank.node.store.StoreChange;
+import org.knapweedbank.time.ManualClock;
+import org.knapweedbank.time.Timestamp;
+
+/** Tests of how soon long-running tasks run again while agents, workers and owners fail. */
+class LongRunningTaskTest {
+    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
+    private static final Duration LEASE = Duration.ofSeconds(5);
+    private static final Duration OBJECTIVE = Duration.ofSeconds(1);
+    private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
+
+    /** Time within which a task runs again once nothing disturbs its VMs any more. */
+    private static final Duration MAX_WAIT = Duration.ofSeconds(3);
+
+    /** Time after the end of its last run within which a task runs again in any case. */
+    private static final Duration MAX_PAUSE = Duration.ofSeconds(9);
+
+    /** Resources of which a VM holds one time. */
+    private static final Resources WHOLE_VM = new Resources(32_000, 960, 0);
+
+    private static final Resources SMALL = new Resources(480, 960, 0);
+
+    private final ManualClock mClock = new ManualClock();
+    private final ManualTimers mTimers = new ManualTimers(mClock);
+    private final FakeStore mStore = new FakeStore(mTimers);
+    private final RunHistory mHistory = new RunHistory();
+    private final List<VmFixture> mVms = List.of(newVm("vm-0"), newVm("vm-1"));
+    private OwnershipTerm mOwnership;
+    private long mTerm;
+
+    private VmFixture newVm(String name) {
+        return new VmFixture(name, mTimers, mClock, mHistory, () -> mOwnership);
+    }
+
+    @BeforeEach
+    void startVms() {
+        mTimers.advance(Duration.ofSeconds(10));
+        startNextOwner();
+        for (int i = 0; i < mVms.size(); i++) {
+            mVms.get(i).mWorker.mTaskDuration = Duration.ofHours(1);
+            mVms.get(i).startAgent();
+            mVms.get(i).startWorker("w-" + i, Duration.ZERO);
+        }
+        mTimers.advance(Duration.ofSeconds(2));
+    }
+
+    private void startNextOwner() {
+        mTerm++;
+        byte[] term = Long.toString(mTerm).getBytes(StandardCharsets.UTF_8);
+        mStore.apply(new StoreChange().put(StoreKeys.TERM, term, 0));
+        OwnerSettings owner =
+                new OwnerSettings(
+                        LEASE,
+                        Duration.ofSeconds(10),
+                        Duration.ofSeconds(1),
+                        Duration.ofSeconds(6),
+                        Duration.ofMillis(400),
+                        Duration.ofSeconds(3),
+                        Duration.ofSeconds(4),
+                        Duration.ofSeconds(150),
+                        1,
+                        SchedulingSettings.DISABLED);
+        mOwnership =
+                new OwnershipTerm(
+                        new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner),
+                        mClock,
+                        mTimers,
+                        mStore,
+                        DecisionLog.NONE,
+                        new Takeover(mTerm, Timestamp.now(mClock), true),
+                        mStore.item(StoreKeys.TERM).revision(),
+                        () -> Set.of(new DaemonId("other")),
+                        () -> {});
+        mOwnership.load(this::confirmPeriodically);
+        mTimers.advance(Duration.ofMillis(100));
+    }
+
+    private void confirmPeriodically(JobOwner owner) {
+        owner.configure(List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, OBJECTIVE, OBJECTIVE)));
+        owner.markViewCurrent();
+        mTimers.every(
+                CONFIRM_INTERVAL,
+                () -> {
+                    owner.confirmByStore(Timestamp.now(mClock));
+                    owner.markViewCurrent();
+                });
+    }
+
+    /** Starts the owner of the next term after a second in which there is none. */
+    private void changeOwner() {
+        mOwnership.stop();
+        mVms.forEach(VmFixture::disconnect);
+        mTimers.advance(Duration.ofSeconds(1));
+        startNextOwner();
+        mVms.forEach(VmFixture::reconnect);
+    }
+
+    /** Submits a job of long-running tasks and lets it start. */
+    private void start(String id, int tasks, Resources perTask) {
+        StepSpec step =
+                new StepSpec(
+                        tasks,
+                        perTask,
+                        OBJECTIVE,
+                        List.of(),
+                        new StepTraits(false, false, false, true, false),
+                        PlacementRule.ANYWHERE,
+                        "",
+                        Duration.ZERO,
+                        -1);
+        JobSubmission job = new JobSubmission(new JobId(id), "", List.of(step), Timetable.ONCE);
+        mOwnership.call(new CallRequest.Submit(QUEUE, job), answer -> {});
+        mTimers.advance(Duration.ofSeconds(1));
+    }
+
+    private void cancel(String id) {
+        mOwnership.call(new CallRequest.Cancel(QUEUE, new JobId(id)), answer -> {});
+    }
+
+    private List<TaskName> tasks(String job, int count) {
+        return IntStream.range(0, count).mapToObj(i -> TaskName.parse(job + ".0.0." + i)).toList();
+    }
+
+    /**
+     * Guards against a VM that stays closed for other tasks, because a run of a cancelled job is
+     * still there under a new owner and the stop of it was lost.
+     */
+    @Test
+    void vmIsUsedSoonAfterLostStopsOfUnwantedRuns() {
+        start("a", 2, WHOLE_VM);
+        mVms.forEach(vm -> vm.mWorker.mStopsLost = true);
+        cancel("a");
+        mTimers.advance(Duration.ofMillis(200));
+        changeOwner();
+        start("b", 2, WHOLE_VM);
+        mTimers.advance(Duration.ofSeconds(4));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a", 2));
+        mVms.forEach(vm -> vm.mWorker.mStopsLost = false);
+        mTimers.advance(MAX_WAIT);
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("b", 2));
+    }
+
+    /**
+     * Guards against a VM that stays closed because its agent starts again while it stops a run of
+     * a cancelled job, and the new process lists the run no more.
+     */
+    @Test
+    void vmIsUsedSoonAfterAgentWithUnwantedRunsRestarted() {
+        start("a", 2, WHOLE_VM);
+        mVms.forEach(vm -> vm.mWorker.mStopsLost = true);
+        cancel("a");
+        mTimers.advance(Duration.ofMillis(200));
+        changeOwner();
+        start("b", 2, WHOLE_VM);
+        mVms.forEach(VmFixture::killAgent);
+        mTimers.advance(Duration.ofSeconds(6));
+        mVms.forEach(vm -> vm.mWorker.mStopsLost = false);
+        mVms.forEach(VmFixture::startAgent);
+        mVms.forEach(VmFixture::sendStatusReport);
+        mTimers.advance(MAX_WAIT);
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("b", 2));
+    }
+
+    /** Guards against tasks that count as running because the agent was lost with their orders. */
+    @Test
+    void tasksWhoseOrdersWereLostWithTheAgentStart() {
+        mVms.forEach(vm -> vm.mLinkDelay = Duration.ofMillis(300));
+        mTimers.advance(Duration.ofSeconds(1));
+        mVms.get(1).mWorker.crash();
+        mVms.get(1).killAgent();
+        start("a", 4, SMALL);
+        mVms.get(0).killAgent();
+        mVms.get(0).startAgent();
+        mVms.get(0).sendStatusReport();
+        mVms.get(0).mLinkDelay = Duration.ofMillis(1);
+        mTimers.advance(MAX_PAUSE.minusSeconds(1));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a", 4));
+        assertThat(mHistory.mRepeated).isEmpty();
+    }
+
+    /**
+     * Guards against tasks that count as running for too long, because their VM was lost soon after
+     * its worker had started again under its identifier. The agent has sent no deadline that the
+     * new incarnation could have taken, but the owner waits for the longest lease of a worker.
+     */
+    @Test
+    @Tag("known-red")
+    void tasksOfVmThatIsLostAfterItsWorkerRestartedRunAgain() {
+        VmFixture lost = mVms.get(0);
+        VmFixture other = mVms.get(1);
+        lost.mWorker.crash();
+        mTimers.advance(Duration.ofSeconds(3));
+        setDraining(other, true);
+        lost.startWorker("w-0", Duration.ZERO);
+        start("a", 4, SMALL);
+        assertThat(lost.mWorker.runningCount()).isEqualTo(4);
+        setDraining(other, false);
+        lost.mWorker.crash();
+        lost.killAgent();
+        mTimers.advance(MAX_PAUSE);
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a", 4));
+    }
+
+    private static void setDraining(VmFixture vm, boolean draining) {
+        vm.mWorker.mDraining = draining;
+        vm.sendStatusReport();
+    }
+
+    /**
+     * Guards against a task that counts as running for good because the end of its run can't be
+     * read and no later end follows.
+     */
+    @Test
+    @Tag("known-red")
+    void taskWhoseOnlyEndStaysUnreadableRunsAgain() {
+        mVms.forEach(vm -> vm.mWorker.mMalformedEnd = 1);
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofSeconds(2));
+        start("a", 1, SMALL);
+        mTimers.advance(Duration.ofSeconds(1).plus(MAX_PAUSE));
+        mVms.forEach(vm -> vm.mWorker.mTaskDuration = Duration.ofHours(1));
+        mTimers.advance(Duration.ofMillis(100));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a", 1));
+    }
+
+    /** Guards against a worker that is not used any more after it has ceased to drain. */
+    @Test
+    void workerThatNoLongerDrainsIsUsed() {
+        mVms.forEach(vm -> setDraining(vm, true));
+        start("a", 1, SMALL);
+        assertThat(mHistory.running()).isEmpty();
+        mVms.forEach(VmFixture::disconnect);
+        mVms.forEach(vm -> setDraining(vm, false));
+        mVms.forEach(VmFixture::reconnect);
+        mTimers.advance(Duration.ofSeconds(1));
+        assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a", 1));
+    }
+}
