VM list: the wait after an unreadable record outlasts a second takeover

Callers would see a task run twice: the record of the VM list can't be read by a new owner, which waits for the leases of its predecessor but writes a list of the VMs that have reported to it. An owner that takes over within that time reads this list, knows of no other VM and starts the tasks that still run on them.

Cause: that a list stands in for an unreadable record was known only to the owner that had read it. The list now holds an entry for the unknown VMs. It is stored, counted as unreachable across takeovers and removed like a VM that never reports, with the same limits as before.

Evidence: TakeoverTest.earlierTaskWaitsForLeasesIfVmListWasUnreadable- ToFormerOwner failed before with a start at once.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
@@ -16,6 +16,12 @@
  * earlier owner may have started.
  */
 public final class VmList {
+    /**
+     * Entry for all VMs of a record that could not be read. It is stored like that of a VM which
+     * does not report, so that a later owner waits for these VMs too.
+     */
+    private static final DaemonId UNREADABLE_VMS = new DaemonId("(unreadable)");
+
     private final Map<DaemonId, ListedVm> mVms = new HashMap<>();
 
     /**
@@ -33,7 +39,6 @@
     private long mVersion;
     private long mStoredVersion;
     private long mRevision;
-    private boolean mUnreadable;
 
     VmList() {}
 
@@ -47,16 +52,10 @@
     public static VmList unreadable(long revision) {
         VmList list = new VmList();
         list.mRevision = revision;
-        list.mUnreadable = true;
-        list.mVersion = 1;
+        list.put(UNREADABLE_VMS, new WorkerId(UNREADABLE_VMS.value(), 0));
         return list;
     }
 
-    /** Returns whether the list stands in for a record that could not be read. */
-    boolean isUnreadable() {
-        return mUnreadable;
-    }
-
     /**
      * Decodes the stored list.
      *
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -88,22 +88,12 @@
      * has not reported yet.
      */
     boolean hasUnresolvedVms() {
-        return mVmList.isUnreadable() && !leasesExpired(Duration.ZERO)
-                || mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
+        return mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
     }
 
-    /** Returns whether the leases of all runs on an unreachable VM have expired. */
+    /** Returns whether the leases that earlier owners allowed have expired on an unreachable VM. */
     private boolean leasesExpired(ListedVm vm) {
-        return leasesExpired(vm.unreachableFor());
-    }
-
-    /**
-     * Returns whether the leases that earlier owners allowed have expired on a VM that had been
-     * unreachable for the given time at the takeover.
-     */
-    private boolean leasesExpired(Duration unreachableBefore) {
-        return unreachableFor(unreachableBefore).compareTo(mState.mSettings.earlierLeaseTimeout())
-                >= 0;
+        return unreachableFor(vm).compareTo(mState.mSettings.earlierLeaseTimeout()) >= 0;
     }
 
     /**
@@ -111,13 +101,9 @@
      * does not count, nor does the time for which a former owner may have gone on.
      */
     private Duration unreachableFor(ListedVm vm) {
-        return unreachableFor(vm.unreachableFor());
-    }
-
-    private Duration unreachableFor(Duration unreachableBefore) {
         long sinceTakeover = mState.now() - mState.mTakenOverAt;
-        return unreachableBefore.plusMillis(
-                Math.max(0, sinceTakeover - mFormerOwnerDelay.toMillis()));
+        return vm.unreachableFor()
+                .plusMillis(Math.max(0, sinceTakeover - mFormerOwnerDelay.toMillis()));
     }
 
     /** Handles the full state of a VM and aligns the tracked runs with it. */
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -70,6 +70,24 @@
         assertThat(newOwner.mStarts).hasSize(1);
     }
 
+    /**
+     * Guards against a second run of a task by a third owner, which reads the list that the second
+     * has written in place of the unreadable record.
+     */
+    @Test
+    void earlierTaskWaitsForLeasesIfVmListWasUnreadableToFormerOwner() throws IOException {
+        startOneTask();
+        OwnerFixture second = mEarlierOwner.createSuccessor(VmList.unreadable(7), true);
+        second.addVm("other", 8_000);
+        OwnerFixture third = second.createSuccessor();
+        third.addVm("other", 8_000);
+        Duration timeout = OwnerFixture.SETTINGS.earlierLeaseTimeout();
+        third.advanceTime(timeout.minusMillis(100), "other");
+        assertThat(third.mStarts).isEmpty();
+        third.advanceTime(Duration.ofMillis(200), "other");
+        assertThat(third.mStarts).hasSize(1);
+    }
+
     /**
      * Guards against a takeover that takes longer with each job that has ended, and against a
      * finished job that the new owner reports wrongly or starts again.
