Tests of the agent: an early order, and a worker with an earlier start time

An order that the owner sent before the agent's statement that nothing runs reaches the agent after it. The agent carries it out, the owner releases its run when the statement arrives, and the task runs twice.

A worker whose start time lies before that of the lost one is ignored for good, although nothing can run on the VM any more.

Result: both tests fail.

--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -8,6 +8,7 @@
 import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
@@ -110,6 +111,10 @@
         mSession.workerReported(new StatusReport(worker, ++mReportCount));
     }
 
+    private long latestPing() {
+        return mOwner.messagesOf(NodeMessage.Ping.class).getLast().number();
+    }
+
     private StartOutcome lastOutcome() {
         return mOwner.messagesOf(NodeMessage.Outcome.class).getLast().outcome();
     }
@@ -210,6 +215,48 @@
         assertThat(lastOutcome()).isEqualTo(StartOutcome.NOT_PERMITTED);
     }
 
+    /**
+     * Guards against an order from before the statement that nothing runs, on which the owner
+     * releases the run of the order.
+     */
+    @Test
+    @Tag("known-red")
+    void orderThatPrecedesStatementThatNothingRunsIsRefused() {
+        mOwner.mAnswersPings = false;
+        mWorker.mSilent = true;
+        long permit = 0;
+        while (mOwner.messagesOf(NodeMessage.NoWorker.class).isEmpty()) {
+            permit = latestPing();
+            advanceMillis(100);
+        }
+        mWorker.mSilent = false;
+        advanceMillis(600);
+        assertThat(mOwner.messagesOf(NodeMessage.Report.class)).hasSize(2);
+        mSession.received(new NodeMessage.Pong(latestPing()));
+        orderStart(permit, order(1, false));
+        assertThat(mWorker.mStarts).isEmpty();
+        assertThat(lastOutcome()).isEqualTo(StartOutcome.NOT_PERMITTED);
+    }
+
+    /**
+     * Guards against a VM that is never used again, because its next worker started at an earlier
+     * time by a clock that was set back.
+     */
+    @Test
+    @Tag("known-red")
+    void workerWithEarlierStartTimeIsUsedAfterTheLostOne() {
+        mWorker.mSilent = true;
+        advanceMillis(8_000);
+        assertThat(mOwner.messagesOf(NodeMessage.NoWorker.class)).hasSize(1);
+        mWorker.mSilent = false;
+        mWorker.mIncarnation = 0;
+        WorkerInfo next = info(1, false).withId(new WorkerId("next", 0));
+        report(next);
+        advanceMillis(3_000);
+        NodeMessage.Report last = mOwner.messagesOf(NodeMessage.Report.class).getLast();
+        assertThat(last.report().worker().orElseThrow()).isEqualTo(next);
+    }
+
     /** Guards against a start after the agent has received the report that its worker drains. */
     @Test
     void drainingWorkerGetsNoStart() {
