Takeover: a VM with an incomplete report is neither unreachable nor settled

Callers would see tasks stop and run elsewhere, or run twice, after a change of the owner while a worker has more ends than it lists at once and the new owner can't store them for some seconds.

Cause: such a VM has reported, but stays among those that a new owner waits for. Three seconds after the takeover the owner began to store it as unreachable and no longer answered its agent, so that the leases of its runs expired. Once the leases of the earlier owner would have expired, it also took all tasks of the VM for known, although a task may have ended there without its end being listed.

A VM whose worker is known now counts as neither, until its report is complete or its worker is given up.

Evidence: TakeoverWaitTest. vmWithIncompleteReportIsAnswered failed before (no answer to the agent), and so did taskWhoseEndMayBeUnlistedWaitsWhileItsVmAnswers (two starts within 12 s).

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -88,12 +88,26 @@
      * has not reported yet.
      */
     boolean hasUnresolvedVms() {
-        return mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
+        return mUnresolvedVms.entrySet().stream()
+                .anyMatch(entry -> !leasesExpired(entry.getKey(), entry.getValue()));
     }
 
-    /** Returns whether the leases that earlier owners allowed have expired on an unreachable VM. */
-    private boolean leasesExpired(ListedVm vm) {
-        return unreachableFor(vm).compareTo(mState.mSettings.earlierLeaseTimeout()) >= 0;
+    /**
+     * Returns whether the leases that earlier owners allowed have expired on a VM, which they do
+     * not while its agent is answered.
+     */
+    private boolean leasesExpired(DaemonId agent, ListedVm vm) {
+        Duration limit = mState.mSettings.earlierLeaseTimeout();
+        return !hasReported(agent) && unreachableFor(vm).compareTo(limit) >= 0;
+    }
+
+    /**
+     * Returns whether the worker of a VM is known. It stays unresolved after incomplete reports
+     * only, which come while the worker has more ends than it lists at once.
+     */
+    private boolean hasReported(DaemonId agent) {
+        Vm vm = mState.mVms.get(agent);
+        return vm != null && vm.mWorker != null;
     }
 
     /**
@@ -276,7 +290,7 @@
                 .toList()
                 .forEach(vm -> removeWorker(vm, "unreachable for longer than its leases"));
         mUnresolvedVms.entrySet().stream()
-                .filter(entry -> leasesExpired(entry.getValue()))
+                .filter(entry -> leasesExpired(entry.getKey(), entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList()
                 .forEach(this::resolve);
@@ -292,7 +306,11 @@
         if (!tooEarly && mState.now() - mUnreachableTimesUpdatedAt >= UNREACHABLE_UPDATE_MILLIS) {
             mUnreachableTimesUpdatedAt = mState.now();
             mUnresolvedVms.forEach(
-                    (agent, vm) -> mVmList.setUnreachableFor(agent, unreachableFor(vm)));
+                    (agent, vm) -> {
+                        if (!hasReported(agent)) {
+                            mVmList.setUnreachableFor(agent, unreachableFor(vm));
+                        }
+                    });
         }
     }
 
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverWaitTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverWaitTest.java
@@ -120,4 +120,55 @@
         pass(newOwner, MAX_WAIT, "other");
         assertThat(newOwner.mStarts).isEmpty();
     }
+
+    /** Reports a run to a new owner by a list that may leave out ends. */
+    private static void reportIncompletely(OwnerFixture owner, OwnerFixture.Order order) {
+        owner.mOwner.handleReport(
+                order.mVm(),
+                OwnerFixture.DATA_CENTRE,
+                new AgentReport(
+                        Optional.of(worker(order.mVm().value())),
+                        false,
+                        List.of(),
+                        List.of(status(order)),
+                        List.of()),
+                owner.currentLists());
+    }
+
+    /**
+     * Guards against leases that expire on a VM whose worker has more ends than it lists at once,
+     * because the new owner stores the VM as unreachable while it answers the agent.
+     */
+    @Test
+    void vmWithIncompleteReportIsAnswered() throws IOException {
+        startTasks();
+        OwnerFixture newOwner = mEarlierOwner.createSuccessor(true);
+        reportIncompletely(newOwner, orderOn("vm"));
+        newOwner.addVm("other", 8_000);
+        for (int i = 0; i < 5; i++) {
+            newOwner.storeAndSchedule();
+            newOwner.advanceTime(Duration.ofSeconds(1), "other");
+            assertThat(newOwner.mOwner.grantAuthority(new DaemonId("vm"), worker("vm").id()))
+                    .isTrue();
+        }
+    }
+
+    /**
+     * Guards against a second run of a task whose end the worker has not listed yet, because the
+     * leases of the earlier owner have expired meanwhile.
+     */
+    @Test
+    void taskWhoseEndMayBeUnlistedWaitsWhileItsVmAnswers() throws IOException {
+        startTasks();
+        OwnerFixture newOwner = mEarlierOwner.createSuccessor(true);
+        reportIncompletely(newOwner, orderOn("vm"));
+        newOwner.addVm("other", 8_000);
+        newOwner.report("gone", worker("gone"), List.of(), List.of(), false);
+        for (int i = 0; i < 12; i++) {
+            newOwner.storeAndSchedule();
+            newOwner.advanceTime(Duration.ofSeconds(1), "other", "gone");
+            newOwner.mOwner.grantAuthority(new DaemonId("vm"), worker("vm").id());
+        }
+        assertThat(newOwner.mStarts).isEmpty();
+    }
 }
