--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
@@ -120,7 +120,7 @@
             return OWNER;
         }
         if (step.mTasks.stream().noneMatch(task -> task.mayStart(mState.now()))) {
-            return RETRY_BACKOFF;
+            return step.mTasks.stream().anyMatch(Task::knownToWait) ? RETRY_BACKOFF : OWNER;
         }
         return vmsByCause.entrySet().stream()
                 .filter(entry -> !entry.getKey().equals(VmClosure.NO_WORKER.name()))
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmList.java
@@ -16,6 +16,12 @@
  * earlier owner may have started.
  */
 public final class VmList {
+    /**
+     * Entry for all VMs of a record that could not be read. It is stored like that of a VM which
+     * does not report, so that a later owner waits for these VMs too.
+     */
+    private static final DaemonId UNREADABLE_VMS = new DaemonId("(unreadable)");
+
     private final Map<DaemonId, ListedVm> mVms = new HashMap<>();
 
     /**
@@ -24,10 +30,15 @@
      */
     private final Map<DaemonId, Long> mReachableVersions = new HashMap<>();
 
+    /**
+     * List version, by VM, from which on the list has held the VM with its present worker as
+     * reachable; none for an unchanged entry of an earlier owner.
+     */
+    private final Map<DaemonId, Long> mListedVersions = new HashMap<>();
+
     private long mVersion;
     private long mStoredVersion;
     private long mRevision;
-    private boolean mUnreadable;
 
     VmList() {}
 
@@ -41,16 +52,10 @@
     public static VmList unreadable(long revision) {
         VmList list = new VmList();
         list.mRevision = revision;
-        list.mUnreadable = true;
-        list.mVersion = 1;
+        list.put(UNREADABLE_VMS, new WorkerId(UNREADABLE_VMS.value(), 0));
         return list;
     }
 
-    /** Returns whether the list stands in for a record that could not be read. */
-    boolean isUnreadable() {
-        return mUnreadable;
-    }
-
     /**
      * Decodes the stored list.
      *
@@ -130,11 +135,19 @@
         return Map.copyOf(mVms);
     }
 
-    boolean contains(DaemonId agent, WorkerId worker) {
+    private boolean contains(DaemonId agent, WorkerId worker) {
         ListedVm vm = mVms.get(agent);
         return vm != null && vm.worker().equals(worker);
     }
 
+    /**
+     * Returns whether the stored list holds a VM with the given worker. This does not require that
+     * the newest version is stored: while VMs come and go, the list may change during each write.
+     */
+    boolean isStored(DaemonId agent, WorkerId worker) {
+        return contains(agent, worker) && mListedVersions.getOrDefault(agent, 0L) <= mStoredVersion;
+    }
+
     /** Adds a VM that has reported to the owner. */
     void put(DaemonId agent, WorkerId worker) {
         ListedVm vm = new ListedVm(worker, Duration.ZERO);
@@ -143,6 +156,7 @@
             return;
         }
         mVersion++;
+        mListedVersions.put(agent, mVersion);
         if (previous != null && !previous.unreachableFor().isZero()) {
             mReachableVersions.put(agent, mVersion);
         }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmTracker.java
@@ -60,6 +60,9 @@
      */
     private final Duration mFormerOwnerDelay;
 
+    /** True until all tasks of earlier owners are known to run on no VM that has not reported. */
+    private boolean mMayRunUnreported = true;
+
     /** Monotonic time in milliseconds of the last search for unreachable VMs. */
     private long mUnreachableCheckedAt = Long.MIN_VALUE / 2;
 
@@ -85,22 +88,26 @@
      * has not reported yet.
      */
     boolean hasUnresolvedVms() {
-        return mVmList.isUnreadable() && !leasesExpired(Duration.ZERO)
-                || mUnresolvedVms.values().stream().anyMatch(vm -> !leasesExpired(vm));
+        return mUnresolvedVms.entrySet().stream()
+                .anyMatch(entry -> !leasesExpired(entry.getKey(), entry.getValue()));
     }
 
-    /** Returns whether the leases of all runs on an unreachable VM have expired. */
-    private boolean leasesExpired(ListedVm vm) {
-        return leasesExpired(vm.unreachableFor());
+    /**
+     * Returns whether the leases that earlier owners allowed have expired on a VM, which they do
+     * not while its agent is answered.
+     */
+    private boolean leasesExpired(DaemonId agent, ListedVm vm) {
+        Duration limit = mState.mSettings.earlierLeaseTimeout();
+        return !hasReported(agent) && unreachableFor(vm).compareTo(limit) >= 0;
     }
 
     /**
-     * Returns whether the leases that earlier owners allowed have expired on a VM that had been
-     * unreachable for the given time at the takeover.
+     * Returns whether the worker of a VM is known. It stays unresolved after incomplete reports
+     * only, which come while the worker has more ends than it lists at once.
      */
-    private boolean leasesExpired(Duration unreachableBefore) {
-        return unreachableFor(unreachableBefore).compareTo(mState.mSettings.earlierLeaseTimeout())
-                >= 0;
+    private boolean hasReported(DaemonId agent) {
+        Vm vm = mState.mVms.get(agent);
+        return vm != null && vm.mWorker != null;
     }
 
     /**
@@ -108,13 +115,9 @@
      * does not count, nor does the time for which a former owner may have gone on.
      */
     private Duration unreachableFor(ListedVm vm) {
-        return unreachableFor(vm.unreachableFor());
-    }
-
-    private Duration unreachableFor(Duration unreachableBefore) {
         long sinceTakeover = mState.now() - mState.mTakenOverAt;
-        return unreachableBefore.plusMillis(
-                Math.max(0, sinceTakeover - mFormerOwnerDelay.toMillis()));
+        return vm.unreachableFor()
+                .plusMillis(Math.max(0, sinceTakeover - mFormerOwnerDelay.toMillis()));
     }
 
     /** Handles the full state of a VM and aligns the tracked runs with it. */
@@ -137,6 +140,7 @@
             Stream<RunStatus> present =
                     Stream.concat(report.starting().stream(), report.running().stream());
             releaseAbsent(vm, taskNames(present), coverage);
+            report.running().forEach(listedRun -> markReported(vm, listedRun));
         }
         vm.updateStarvedFillers();
         vm.mRuns.values().forEach(this::sendProfile);
@@ -168,6 +172,19 @@
         }
     }
 
+    /**
+     * Records that a task runs on no other VM, as it runs on this one by a complete report: it has
+     * at most one run at a time. It need not wait for the other VMs when this run ends. An
+     * incomplete report does not show this, since a run in it may have ended.
+     */
+    private void markReported(Vm vm, RunStatus listedRun) {
+        Task task = mState.findTask(listedRun.task());
+        Run run = task == null ? null : task.mRun;
+        if (run != null && run.mVm == vm && run.mNumber == listedRun.run()) {
+            task.mMayRunUnreported = false;
+        }
+    }
+
     private void logReport(Vm vm, AgentReport report, OrderCoverage coverage) {
         mState.mLog.record(
                 "vm.report",
@@ -257,6 +274,10 @@
      * last.
      */
     void removeUnreachable() {
+        if (mMayRunUnreported && !hasUnresolvedVms()) {
+            mMayRunUnreported = false;
+            mState.jobs().forEach(Job::markAllReported);
+        }
         if (mState.now() - mUnreachableCheckedAt < UNREACHABLE_CHECK_MILLIS) {
             return;
         }
@@ -269,7 +290,7 @@
                 .toList()
                 .forEach(vm -> removeWorker(vm, "unreachable for longer than its leases"));
         mUnresolvedVms.entrySet().stream()
-                .filter(entry -> leasesExpired(entry.getValue()))
+                .filter(entry -> leasesExpired(entry.getKey(), entry.getValue()))
                 .map(Map.Entry::getKey)
                 .toList()
                 .forEach(this::resolve);
@@ -285,15 +306,19 @@
         if (!tooEarly && mState.now() - mUnreachableTimesUpdatedAt >= UNREACHABLE_UPDATE_MILLIS) {
             mUnreachableTimesUpdatedAt = mState.now();
             mUnresolvedVms.forEach(
-                    (agent, vm) -> mVmList.setUnreachableFor(agent, unreachableFor(vm)));
+                    (agent, vm) -> {
+                        if (!hasReported(agent)) {
+                            mVmList.setUnreachableFor(agent, unreachableFor(vm));
+                        }
+                    });
         }
     }
 
-    /** Marks VMs whose worker is in the stored list, after the list has been written. */
+    /** Marks VMs whose worker is in the stored list, after a version of it has been written. */
     void listStored() {
         mState.mVms.values().stream()
-                .filter(vm -> vm.mWorker != null && !mVmList.dirty())
-                .forEach(vm -> vm.mListedInStore = mVmList.contains(vm.mAgent, vm.mWorker.id()));
+                .filter(vm -> vm.mWorker != null)
+                .forEach(vm -> vm.mListedInStore = mVmList.isStored(vm.mAgent, vm.mWorker.id()));
     }
 
     /** Returns whether a worker is an earlier incarnation than the current one of the VM. */
@@ -334,7 +359,7 @@
     /** Adds a VM with its current worker to the VM list. */
     private void addToList(Vm vm) {
         mVmList.put(vm.mAgent, vm.mWorker.id());
-        vm.mListedInStore = vm.mListedInStore || !mVmList.dirty();
+        vm.mListedInStore = mVmList.isStored(vm.mAgent, vm.mWorker.id());
     }
 
     /** Releases all runs of a VM and removes the VM from the list. */
