Withdraw only the permits of requests with the statement that nothing runs

What callers would see: after an outage of the store of nine seconds no task starts any more on any VM.

Cause: "An agent that states that nothing runs carries out no earlier order" discarded the requests to the owner, and with them their grants. An agent whose authority has lapsed states that nothing runs each half second, between two answers of the worker. Each statement discarded the request under way, so no grant extended the lease, which would have ended the statements.

Evidence: FaultExplorerTest, recorded kinds, seed 5203, on: all tasks wait to the end, each order is refused with "permit is too old".

Change: the statement withdraws the permits of the requests until now; grants of them extend the lease as before.

--- a/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/LeaseAuthority.java
@@ -26,6 +26,10 @@
     private final ExcessLease mExcessLease;
     private final Deque<Request> mRequests = new ArrayDeque<>();
     private long mLastNumber;
+
+    /** Number of the first request to which an order may refer. */
+    private long mFirstPermit;
+
     private long mNewestGrant;
     private long mLeaseEndMillis = Long.MIN_VALUE;
     private long mWorkerClockMillis = Long.MIN_VALUE;
@@ -116,21 +120,23 @@
     }
 
     /**
-     * Discards all requests to the owner, so that no order that refers to one of them is recent and
-     * no later grant of one extends a lease.
+     * Refuses all orders that refer to requests until now. Grants of these requests still extend
+     * the lease.
      */
-    void discardRequests() {
-        mRequests.clear();
+    void withdrawPermits() {
+        mFirstPermit = mLastNumber + 1;
     }
 
     /**
-     * Returns whether a request is recent by both the monotonic and the wall clock, because one of
-     * them may stand still while the VM is suspended.
+     * Returns whether a request may permit an order and is recent by both the monotonic and the
+     * wall clock, because one of them may stand still while the VM is suspended.
      */
     boolean isRecent(long number, Duration maxAge) {
-        return mRequests.stream()
-                .filter(request -> request.mNumber == number)
-                .anyMatch(request -> request.mSentAt.ageMillis(mClock) <= maxAge.toMillis());
+        return number >= mFirstPermit
+                && mRequests.stream()
+                        .filter(request -> request.mNumber == number)
+                        .anyMatch(
+                                request -> request.mSentAt.ageMillis(mClock) <= maxAge.toMillis());
     }
 
     /**
--- a/node/src/main/java/org/knapweedbank/node/agent/OwnerChannel.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/OwnerChannel.java
@@ -74,7 +74,7 @@
      */
     void stateNoWorker(String reason) {
         mReported = Reported.NOTHING;
-        mWorker.authority().discardRequests();
+        mWorker.authority().withdrawPermits();
         mNoWorkerReason = reason;
         send(new NodeMessage.NoWorker(reason));
     }
--- a/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/FaultExplorerTest.java
@@ -68,11 +68,12 @@
     /**
      * Guards against the release of a run that is under way or has ended, because of a list that is
      * older than its start (207, 835), a second report on one link (821), a list that holds only
-     * some of the ends (929, 1575), or a restart that no renewal has shown (1810). The seeds depend
-     * on the draws of {@link FaultPlan}.
+     * some of the ends (929, 1575), or a restart that no renewal has shown (1810), and against
+     * agents that never get authority again after a long outage of the store (5203). The seeds
+     * depend on the draws of {@link FaultPlan}.
      */
     @ParameterizedTest
-    @ValueSource(longs = {207, 821, 835, 929, 1575, 1810})
+    @ValueSource(longs = {207, 821, 835, 929, 1575, 1810, 5203})
     void tasksRunOnceUnderFaultsThatOnceBrokeARule(long seed) {
         check(seed);
     }
