Each unreadable end is awaited for the whole hold time

Callers would see a task run twice: an end that could not be read is acknowledged with a later one, so the worker forgets it and the task starts again.

Cause: UnreadableEnds counted from the first incomplete list until a complete one, whichever worker had listed it and whatever lay in between. The first incomplete list of a new incarnation, or the first after a silence, could be past the hold time at once. So could a second unread end beside one that stayed unreadable.

--- a/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
+++ b/node/src/main/java/org/knapweedbank/node/agent/AgentSession.java
@@ -179,7 +179,9 @@
     private void applyRunLists(LeaseRenewalReply.Renewed renewed, ListRequest request) {
         mRuns.updateRunning(renewed.running(), mClock.monotonicMillis());
         List<EndedRun> newEnds =
-                mRuns.addEnds(mUnreadableEnds.withoutHeldBack(renewed, mRuns.highestReported()));
+                mRuns.addEnds(
+                        mUnreadableEnds.withoutHeldBack(
+                                mWorker.id(), renewed, mRuns.highestReported()));
         if (renewed.conclusive()) {
             mWorker.recordLists(request);
             mRuns.removeAbsent(renewed.running(), request.sentAtMillis())
--- a/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
+++ b/node/src/test/java/org/knapweedbank/node/agent/AgentSessionTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
+import org.knapweedbank.jobs.AgentReport;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedRun;
@@ -345,6 +346,43 @@
         assertThat(mOwner.messagesOf(NodeMessage.Report.class)).hasSize(1);
     }
 
+    /** Guards against an unread end that the first lists of a restarted worker discard. */
+    @Test
+    void unreadableEndIsAwaitedAgainAfterRestart() {
+        mWorker.mListsComplete = false;
+        advanceMillis(1_000);
+        mWorker.mIncarnation = 2;
+        mWorker.mEnded.add(new EndedRun(2, TASK, 2, EndKind.DONE, ""));
+        report(info(2, false));
+        advanceMillis(1_500);
+        mWorker.mEnded.addFirst(new EndedRun(1, TASK, 1, EndKind.FAILED, ""));
+        mWorker.mListsComplete = true;
+        advanceMillis(1_000);
+        AgentReport state = mOwner.messagesOf(NodeMessage.Report.class).getLast().report();
+        assertThat(state.worker()).hasValue(info(2, false));
+        assertThat(state.ended()).hasSize(2);
+    }
+
+    /** Guards against an unread end that the first list after a silence discards. */
+    @Test
+    void unreadableEndIsAwaitedAfterSilence() {
+        mWorker.mListsComplete = false;
+        advanceMillis(1_000);
+        mWorker.mSilent = true;
+        advanceMillis(3_000);
+        mWorker.mSilent = false;
+        mWorker.mEnded.add(new EndedRun(2, TASK, 2, EndKind.DONE, ""));
+        advanceMillis(300);
+        mWorker.mEnded.addFirst(new EndedRun(1, TASK, 1, EndKind.FAILED, ""));
+        mWorker.mListsComplete = true;
+        advanceMillis(1_000);
+        assertThat(
+                        mOwner.messagesOf(NodeMessage.Ends.class).stream()
+                                .flatMap(ends -> ends.ends().stream())
+                                .map(EndedRun::number))
+                .containsExactly(1L, 2L);
+    }
+
     /** Guards against a start that the worker carries out long after the order. */
     @Test
     void startOrderHasShortDeadline() {
