--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -234,7 +234,8 @@
                             ? candidates.best()
                             : VmSelector.select(
                                     task, vms, fillerRequirement, mState.mPressureEstimator);
-            if (vm.isEmpty() && vms.stream().anyMatch(other -> other.mHealth.spares(task))) {
+            if (vm.isEmpty()
+                    && vms.stream().anyMatch(other -> other.mHealth.refusesLastAttempt(task))) {
                 continue;
             }
             if (vm.isEmpty()) {
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmHealth.java
@@ -160,11 +160,12 @@
 
     /** Returns whether the VM takes a task now, as a trial if the VM is suspected. */
     boolean accepts(Task task) {
-        return !mSuspected || trials(task).allows(mClock.monotonicMillis()) && !spares(task);
+        return !mSuspected
+                || trials(task).allows(mClock.monotonicMillis()) && !refusesLastAttempt(task);
     }
 
-    /** Returns whether the VM takes no task now whose failure would end its job, as this one. */
-    boolean spares(Task task) {
+    /** Returns whether a task is not tried now because its failure would end its job. */
+    boolean refusesLastAttempt(Task task) {
         return mSuspected
                 && task.onLastAttempt()
                 && mClock.monotonicMillis() - mLastFailureAt < LAST_ATTEMPT_DELAY_MILLIS;
