Soak: workers that fail what they start, and the promise WAITS

The soak could not find incident LOST: its workers never failed a run, its callers submitted no long-running jobs, and no promise covered a task that waits although there is room for it.

- Fault WorkerFailures: a worker fails all runs that it starts for some time, also after a restart.
Plan worker-failures plays it for single workers and for all at once, some with a restart in the middle, and ends with a failure of all workers 6 to 8 s after their restart.
It is part of mixed, behind the other series, so that those of earlier seeds stay as they are.
With worker-failures and mixed some jobs fail wherever they run.
- Promise WAITS: 7 s after the end of the faults each accepted long-running task runs and has not been without a run for 6 s since.
- LOST: an accepted long-running job has to be shown as running, a faulty one as failed.
Another job may be shown as failed only if workers failed one of its tasks in as many runs as the queue's max_attempts, which is the documented end of such a job; until now no run could fail.

--- a/soak/src/main/java/org/knapweedbank/soak/Deployment.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Deployment.java
@@ -25,6 +25,10 @@
 final class Deployment implements AutoCloseable {
     static final String QUEUE_HOST = "queue.example";
     static final String QUEUE_PREFIX = "/q/";
+
+    /** Number of failed runs of a task after which its job fails. */
+    static final int MAX_ATTEMPTS = 3;
+
     static final Duration STOP_GRACE = Duration.ofSeconds(6);
 
     /** Shorter than the default, so that owners of a short run refuse jobs under overload. */
@@ -266,7 +270,7 @@
                 .put("timeout_ms", 3_000)
                 .put("target_latency_ms", 250)
                 .put("priority", 0)
-                .put("max_attempts", 3)
+                .put("max_attempts", MAX_ATTEMPTS)
                 .put("stretch", 1.5);
         configuration
                 .putArray("services")
--- a/soak/src/main/java/org/knapweedbank/soak/Fault.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Fault.java
@@ -5,6 +5,9 @@
     /** A worker crashes and starts again under its identifier. */
     record WorkerRestart(int worker, long downMillis, long firstReportMillis) implements Fault {}
 
+    /** A worker fails what it starts. */
+    record WorkerFailures(int worker, long millis) implements Fault {}
+
     /** A worker leaves, with or without a confirmation of its notice, and starts again. */
     record WorkerDeparture(int worker, boolean confirmed, long downMillis) implements Fault {}
 
--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlan.java
@@ -20,6 +20,15 @@
 
     private static final long MAX_RESTART_MILLIS = 1_500;
     private static final long MAX_LOSS_MILLIS = 12_000;
+    private static final long MAX_FAILURES_MILLIS = 8_000;
+
+    /**
+     * Minimum time between the restart and the end of the last failures. A VM suspended for 2, 4
+     * and 8 s in succession from the restart on has then been suspended for the longest time.
+     */
+    private static final long MIN_LAST_FAILURES_MILLIS = 6_000;
+
+    private static final long MAX_LAST_FAILURES_MILLIS = 8_000;
     private static final long MAX_LATE_ORDER_MILLIS = 6_000;
 
     /** Time after the start of a hand-over within which workers restart. */
@@ -41,8 +50,15 @@
         LATE_ORDERS,
         /** Agents and owners restart while calls to workers, which stay up, are seconds late. */
         AGENT_RESTARTS,
+        /** Workers fail what they start, alone or all at once, and restart now and then. */
+        WORKER_FAILURES,
         /** All kinds of faults. */
-        MIXED
+        MIXED;
+
+        /** Returns whether some jobs fail wherever they run. */
+        boolean hasFaultyJobs() {
+            return this == WORKER_FAILURES || this == MIXED;
+        }
     }
 
     private FaultPlan(UniformRandomProvider random, int workers, int entries, long millis) {
@@ -60,6 +76,7 @@
             case HAND_OVER -> plan.addHandOvers();
             case LATE_ORDERS -> plan.addLateOrders();
             case AGENT_RESTARTS -> plan.addAgentRestarts();
+            case WORKER_FAILURES -> plan.addWorkerFailures();
             case MIXED -> plan.addMixed();
         }
         plan.mFaults.sort(Comparator.comparingLong(PlannedFault::atMillis));
@@ -99,6 +116,19 @@
         addSeries(8_000, at -> add(at, pause()));
     }
 
+    /** The last fault is a failure of all workers, which have lost their runs by a restart. */
+    private void addWorkerFailures() {
+        addSeries(4_000, at -> addFailures(at, mRandom.nextInt(mWorkers)));
+        addSeries(12_000, this::addFailuresOfAll);
+        long restart =
+                Math.max(0, mMillis - between(MIN_LAST_FAILURES_MILLIS, MAX_LAST_FAILURES_MILLIS));
+        for (int i = 0; i < mWorkers; i++) {
+            long start = Math.max(0, restart - MAX_FAILURES_MILLIS / 2);
+            add(start, new Fault.WorkerFailures(i, mMillis - start));
+            addRestart(restart, 1, i);
+        }
+    }
+
     private void addMixed() {
         addSeries(2_500, at -> addRestart(at, 1, mRandom.nextInt(mWorkers)));
         addSeries(9_000, at -> add(at, ownerEnd()));
@@ -111,6 +141,8 @@
         addSeries(5_000, at -> add(at, departure()));
         addSeries(12_000, at -> add(at, new Fault.SilentConnections()));
         addSeries(15_000, at -> add(at, dataCentreLoss()));
+        addSeries(8_000, at -> addFailures(at, mRandom.nextInt(mWorkers)));
+        addSeries(15_000, this::addFailuresOfAll);
     }
 
     /** Adds faults at exponentially distributed intervals. */
@@ -138,6 +170,30 @@
                                         : MAX_FIRST_REPORT_MILLIS)));
     }
 
+    private void addFailuresOfAll(long start) {
+        long millis = failureMillis(start);
+        boolean restart = mRandom.nextBoolean();
+        for (int i = 0; i < mWorkers; i++) {
+            add(start, new Fault.WorkerFailures(i, millis));
+            if (restart) {
+                addRestart(start + millis / 2, 1, i);
+            }
+        }
+    }
+
+    private void addFailures(long start, int worker) {
+        long millis = failureMillis(start);
+        add(start, new Fault.WorkerFailures(worker, millis));
+        if (mRandom.nextInt(3) == 0) {
+            addRestart(start + millis / 2, 1, worker);
+        }
+    }
+
+    /** Returns a duration that ends with the plan at the latest. */
+    private long failureMillis(long start) {
+        return Math.min(mMillis - start, between(500, MAX_FAILURES_MILLIS));
+    }
+
     private Fault ownerEnd() {
         ProcessSignal signal = mRandom.nextBoolean() ? ProcessSignal.TERM : ProcessSignal.KILL;
         return new Fault.OwnerEnd(signal, between(200, MAX_RESTART_MILLIS));
--- a/soak/src/main/java/org/knapweedbank/soak/FaultPlayer.java
+++ b/soak/src/main/java/org/knapweedbank/soak/FaultPlayer.java
@@ -63,6 +63,10 @@
                     worker.start(restart.firstReportMillis());
                 }
             }
+            case Fault.WorkerFailures failures -> {
+                mDeployment.worker(failures.worker()).failFor(failures.millis());
+                sleep(failures.millis());
+            }
             case Fault.WorkerDeparture departure -> {
                 WorkerStandIn worker = mDeployment.worker(departure.worker());
                 if (worker.leave(departure.confirmed())) {
--- a/soak/src/main/java/org/knapweedbank/soak/RunHistory.java
+++ b/soak/src/main/java/org/knapweedbank/soak/RunHistory.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.Collectors;
 import org.knapweedbank.time.Clock;
 
 /**
@@ -92,6 +93,17 @@
         return (int) mEvents.stream().filter(e -> e.kind() == RunEvent.Kind.START).count();
     }
 
+    /** Returns whether a task of a job has failed in a number of runs. */
+    synchronized boolean hasFailed(String job, int runs) {
+        return eventsOf(job).stream()
+                .filter(e -> e.kind() == RunEvent.Kind.END)
+                .filter(e -> e.detail().equals(WorkerStandIn.FAILED))
+                .collect(Collectors.groupingBy(RunEvent::task, Collectors.counting()))
+                .values()
+                .stream()
+                .anyMatch(count -> count >= runs);
+    }
+
     synchronized boolean hasStarted(String job) {
         return mStartedJobs.contains(job);
     }
--- a/soak/src/main/java/org/knapweedbank/soak/SoakMain.java
+++ b/soak/src/main/java/org/knapweedbank/soak/SoakMain.java
@@ -31,7 +31,8 @@
                 null,
                 "plan",
                 true,
-                "series of faults: calm, hand-over, late-orders, agent-restarts or mixed");
+                "series of faults: calm, hand-over, late-orders, agent-restarts, worker-failures"
+                        + " or mixed");
         try {
             CommandLine line = new DefaultParser().parse(options, args);
             String[] seeds = line.getOptionValue("seeds", "1-3").split("-");
--- a/soak/src/main/java/org/knapweedbank/soak/SoakResult.java
+++ b/soak/src/main/java/org/knapweedbank/soak/SoakResult.java
@@ -18,11 +18,17 @@
                 Arrays.stream(Job.Outcome.values())
                         .map(o -> count(o) + " " + o.name().toLowerCase(java.util.Locale.ROOT))
                         .collect(Collectors.joining(", "));
+        long longRunning =
+                jobs.stream()
+                        .filter(Job::isAccepted)
+                        .filter(job -> job.kind() == Job.Kind.LONG_RUNNING)
+                        .count();
         String broken =
                 Arrays.stream(Violation.Promise.values())
                         .map(promise -> promise + " " + count(promise))
                         .collect(Collectors.joining(", "));
-        return "seed " + seed + ": jobs " + outcomes + "; starts " + starts + "; broken " + broken;
+        return "seed %d: jobs %s, %d long-running accepted; starts %d; broken %s"
+                .formatted(seed, outcomes, longRunning, starts, broken);
     }
 
     private long count(Job.Outcome outcome) {
--- a/soak/src/main/java/org/knapweedbank/soak/SoakRun.java
+++ b/soak/src/main/java/org/knapweedbank/soak/SoakRun.java
@@ -21,8 +21,8 @@
     private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
 
     /**
-     * Time after the faults within which all accepted jobs must be completed. Leases and a
-     * take-over last up to ten seconds each.
+     * Time after the faults within which all accepted jobs must be shown in their final state;
+     * long-running ones run. Leases and a take-over last up to ten seconds each.
      */
     private static final Duration SETTLING_TIME = Duration.ofSeconds(40);
 
@@ -62,14 +62,22 @@
                                 line -> report.println(seconds(history) + " " + line))) {
             report.println("seed " + seed + ", " + mKind + ", " + mSize + ", " + mMillis + " ms");
             deployment.start();
-            JobCallers callers = new JobCallers(deployment.callerUrls(), seed);
+            JobCallers callers =
+                    new JobCallers(
+                            deployment.callerUrls(),
+                            seed,
+                            mSize.workers(),
+                            mKind.hasFaultyJobs(),
+                            history::nowMillis);
             callers.start();
             player.start(FaultPlan.draw(mKind, random, mSize.workers(), mSize.entries(), mMillis));
             TimeUnit.MILLISECONDS.sleep(mMillis);
             player.await();
+            long faultsEnd = history.nowMillis();
             List<Job> jobs = callers.stop();
             report.println(seconds(history) + " faults and submissions have ended");
-            List<Violation> violations = new ArrayList<>(findLost(deployment, jobs));
+            List<Violation> violations = new ArrayList<>(findLost(deployment, jobs, history));
+            violations.addAll(findWaits(history, jobs, faultsEnd));
             violations.addAll(history.violations());
             jobs.stream()
                     .filter(job -> job.outcome() == Job.Outcome.REFUSED)
@@ -98,12 +106,19 @@
         return "%8.3f".formatted(history.nowMillis() / 1_000.0);
     }
 
-    /** Waits until all accepted jobs are completed, and returns those that aren't in time. */
-    private List<Violation> findLost(Deployment deployment, List<Job> jobs)
+    /** Observes the calm time for as long as a wait may last, and returns the waits too long. */
+    private static List<Violation> findWaits(RunHistory history, List<Job> jobs, long faultsEnd)
+            throws InterruptedException {
+        long end = faultsEnd + WaitCheck.CALM_MILLIS + WaitCheck.MAX_WAIT_MILLIS;
+        TimeUnit.MILLISECONDS.sleep(end - history.nowMillis());
+        return new WaitCheck(history, faultsEnd, history.nowMillis()).check(jobs);
+    }
+
+    /** Waits until all accepted jobs are in their final state, and returns those that aren't. */
+    private List<Violation> findLost(Deployment deployment, List<Job> jobs, RunHistory history)
             throws InterruptedException {
         HttpClient client = HttpJson.client();
-        List<Job> open =
-                jobs.stream().filter(job -> job.outcome() == Job.Outcome.ACCEPTED).toList();
+        List<Job> open = jobs.stream().filter(Job::isAccepted).toList();
         List<Violation> lost = new ArrayList<>();
         long deadline = mClock.monotonicMillis() + SETTLING_TIME.toMillis();
         while (!open.isEmpty()) {
@@ -114,7 +129,7 @@
                 String url = urls.get(next.size() % urls.size()) + job.id();
                 HttpJson.Answer answer =
                         HttpJson.call(client, "GET", url, Deployment.QUEUE_HOST, "", CALL_TIMEOUT);
-                if (!answer.body().path("state").asText().equals("completed")) {
+                if (!isExpected(job, answer.body().path("state").asText(), history)) {
                     next.add(job);
                     String shown = answer.status() + " " + answer.body();
                     lost.add(new Violation(Violation.Promise.LOST, job.id(), "shown as " + shown));
@@ -129,6 +144,20 @@
         return List.of();
     }
 
+    /**
+     * Returns whether a job may be shown in a state for good. A job that isn't faulty may fail on
+     * workers that fail what they start, but only by as many runs as the queue allows.
+     */
+    private static boolean isExpected(Job job, String state, RunHistory history) {
+        boolean failed =
+                state.equals("failed") && history.hasFailed(job.id(), Deployment.MAX_ATTEMPTS);
+        return switch (job.kind()) {
+            case SHORT -> failed || state.equals("completed");
+            case LONG_RUNNING -> state.equals("running");
+            case FAULTY -> failed;
+        };
+    }
+
     private static void delete(Path folder) throws IOException {
         try (Stream<Path> files = Files.walk(folder)) {
             for (Path file : files.sorted(Comparator.reverseOrder()).toList()) {
--- a/soak/src/main/java/org/knapweedbank/soak/Violation.java
+++ b/soak/src/main/java/org/knapweedbank/soak/Violation.java
@@ -12,8 +12,13 @@
     enum Promise {
         /** No task runs twice at a time, or again after an acknowledged end as done. */
         TWICE,
-        /** Each accepted job is completed. */
+        /** Each accepted job is completed, or failed if a task has failed as often as it may. */
         LOST,
+        /**
+         * Once the faults have been over for 7 s, each accepted long-running task runs and has not
+         * been without a run for 6 s since.
+         */
+        WAITS,
         /** No task of a job starts if each of its submissions was refused. */
         REFUSED,
         /** No process ends unless a fault ends it. */
--- a/soak/src/main/java/org/knapweedbank/soak/WorkerStandIn.java
+++ b/soak/src/main/java/org/knapweedbank/soak/WorkerStandIn.java
@@ -17,9 +17,13 @@
 
 /**
  * Stand-in of a worker, which may crash and start again under its identifier. The spec of a task is
- * its duration in milliseconds. The clock of each incarnation starts anew.
+ * its duration in milliseconds, followed by the end of its runs unless they are done then. The
+ * clock of each incarnation starts anew.
  */
 final class WorkerStandIn implements AutoCloseable {
+    /** End of a run that has failed. */
+    static final String FAILED = "failed";
+
     private static final long REPORT_INTERVAL_MILLIS = 1_500;
     private static final Duration REPORT_TIMEOUT = Duration.ofSeconds(1);
 
@@ -33,6 +37,10 @@
     private static final long MAX_WAIT_MILLIS = 2_000;
     private static final long FIRST_CLOCK_MILLIS = 1_000;
     private static final long WORK_INTERVAL_MILLIS = 5;
+
+    /** Duration of a run that fails because the worker does. */
+    private static final long FAILED_RUN_MILLIS = 5;
+
     private static final int MAX_LISTED_ENDS = 500;
     private static final long MILLI_CPU = 16_000;
     private static final long MEMORY_MB = 64_000;
@@ -57,7 +65,7 @@
             String agentAddress,
             double clockRate) {}
 
-    private record Run(String task, long number, long startMillis, long workMillis) {}
+    private record Run(String task, long number, long startMillis, long workMillis, String how) {}
 
     private record End(String task, long run, String how) {}
 
@@ -72,6 +80,10 @@
     private HttpServer mServer;
     private long mIncarnation;
     private long mStartMillis;
+
+    /** Time on the clock of the soak until which runs fail, in any incarnation. */
+    private long mFailsUntil = Long.MIN_VALUE;
+
     private boolean mDraining;
     private long mFence;
     private long mLeaseEnd;
@@ -127,6 +139,11 @@
         return true;
     }
 
+    /** Fails what is started from now on. */
+    synchronized void failFor(long millis) {
+        mFailsUntil = Math.max(mFailsUntil, mClock.monotonicMillis() + millis);
+    }
+
     /**
      * Leaves as planned: reports that it drains, sends its notice and ends. Without a confirmation
      * it ends some seconds after the notice.
@@ -225,7 +242,7 @@
         long now = clock();
         List.copyOf(mRunning.values()).stream()
                 .filter(run -> run.startMillis() + run.workMillis() <= Math.min(now, mLeaseEnd))
-                .forEach(run -> end(run, "done"));
+                .forEach(run -> end(run, run.how()));
         if (now > mLeaseEnd && mLeaseEnd > 0) {
             mLeaseEnd = 0;
             record(RunEvent.Kind.LEASE_EXPIRED, "", 0, mRunning.size() + " runs end");
@@ -303,12 +320,21 @@
             answer.put("reason", "old");
             return 409;
         }
-        long work = Long.parseLong(body.path("spec").asText());
-        mRunning.put(key(task, number), new Run(task, number, clock(), work));
+        Run run = createRun(task, number, body.path("spec").asText());
+        mRunning.put(key(task, number), run);
         record(RunEvent.Kind.START, task, number, "lease until " + mLeaseEnd + " at " + clock());
         return 200;
     }
 
+    private Run createRun(String task, long number, String spec) {
+        if (mClock.monotonicMillis() < mFailsUntil) {
+            return new Run(task, number, clock(), FAILED_RUN_MILLIS, FAILED);
+        }
+        String[] parts = spec.split(" ");
+        String how = parts.length > 1 ? parts[1] : "done";
+        return new Run(task, number, clock(), Long.parseLong(parts[0]), how);
+    }
+
     private int stopRun(JsonNode body) {
         String task = body.path("task").asText();
         long number = body.path("run").asLong();
--- a/soak/src/test/java/org/knapweedbank/soak/FaultPlanTest.java
+++ b/soak/src/test/java/org/knapweedbank/soak/FaultPlanTest.java
@@ -45,4 +45,30 @@
         }
         assertThat(handOver).isGreaterThan(0);
     }
+
+    @Test
+    void lastFailuresOfAllWorkersEndWithPlanAfterRestart() {
+        List<PlannedFault> faults = draw(FaultPlan.Kind.WORKER_FAILURES, 7);
+        for (int i = 0; i < 4; i++) {
+            int worker = i;
+            PlannedFault last =
+                    faults.stream()
+                            .filter(
+                                    planned ->
+                                            planned.fault() instanceof Fault.WorkerFailures f
+                                                    && f.worker() == worker
+                                                    && planned.atMillis() + f.millis() == MILLIS)
+                            .findFirst()
+                            .orElseThrow();
+            assertThat(
+                            faults.stream()
+                                    .filter(planned -> planned.atMillis() > last.atMillis())
+                                    .map(PlannedFault::fault)
+                                    .anyMatch(
+                                            fault ->
+                                                    fault instanceof Fault.WorkerRestart r
+                                                            && r.worker() == worker))
+                    .isTrue();
+        }
+    }
 }
