Bound the cost of the lines on waiting long-running tasks

Each waiting step was compared with each VM once a second, which at the target size of 1,900 VMs and hundreds of waiting steps costs the owner's loop tens of milliseconds. At most ten steps are examined, evenly spaced, and each stands for those that follow it, as in WaitingTimeRecorder.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
@@ -15,8 +15,11 @@
     private static final String COUNTER = "long_running_wait_millis";
     private static final long LOG_INTERVAL_MILLIS = 1_000;
 
-    /** Maximum number of lines in one interval; the counter covers all steps. */
-    private static final int MAX_LINES = 10;
+    /**
+     * Maximum number of steps that are examined and logged in one interval. Of more steps, evenly
+     * spaced ones are examined, and for the counter each stands for those that follow it.
+     */
+    private static final int MAX_EXAMINED_STEPS = 10;
 
     /** No VM has room for the task. */
     private static final String NO_ROOM = "NO_ROOM";
@@ -49,17 +52,21 @@
         }
         mLoggedAt = mState.now();
         List<Step> steps = waitingSteps();
-        for (int i = 0; i < steps.size(); i++) {
-            Step step = steps.get(i);
-            Map<String, Integer> vmsByCause = countVms(step);
-            String cause = findCause(step, vmsByCause, mayStart.test(step.mJob));
-            mState.mLog.count(COUNTER, cause, step.mWaitingTasks * elapsed);
-            if (i < MAX_LINES) {
-                record(step, cause, vmsByCause);
-            }
+        int stride = Math.ceilDiv(steps.size(), MAX_EXAMINED_STEPS);
+        for (int i = 0; i < steps.size(); i += stride) {
+            List<Step> next = steps.subList(i, Math.min(i + stride, steps.size()));
+            long tasks = next.stream().mapToLong(step -> step.mWaitingTasks).sum();
+            examine(steps.get(i), tasks * elapsed, mayStart);
         }
     }
 
+    private void examine(Step step, long waitMillis, Predicate<Job> mayStart) {
+        Map<String, Integer> vmsByCause = countVms(step);
+        String cause = findMainCause(step, vmsByCause, mayStart.test(step.mJob));
+        mState.mLog.count(COUNTER, cause, waitMillis);
+        record(step, cause, vmsByCause);
+    }
+
     private void record(Step step, String cause, Map<String, Integer> vmsByCause) {
         Task task = firstWaiting(step);
         mState.mLog.record(
@@ -115,7 +122,7 @@
     }
 
     /** Returns what holds a step back: the most frequent cause of the VMs that have room. */
-    private String findCause(Step step, Map<String, Integer> vmsByCause, boolean mayStart) {
+    private String findMainCause(Step step, Map<String, Integer> vmsByCause, boolean mayStart) {
         if (!mayStart) {
             return OWNER;
         }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/LongRunningWaitLoggerTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/LongRunningWaitLoggerTest.java
@@ -53,6 +53,19 @@
         assertThat(mFixture.mCounts.get("long_running_wait_millis NO_ROOM")).isEqualTo(2_000);
     }
 
+    /** Guards against a cost and a number of lines that grow with the number of waiting steps. */
+    @Test
+    void manyWaitingStepsAreSampled() {
+        mFixture.addVm("small", 1_000);
+        for (int i = 0; i < 25; i++) {
+            mFixture.submit("web-" + i, OwnerFixture.servingStep(2, 2_000, 0));
+        }
+        mFixture.storeAndSchedule();
+        mFixture.advanceTime(SECOND, "small");
+        assertThat(mFixture.logLines("task.waiting")).hasSize(9);
+        assertThat(mFixture.mCounts.get("long_running_wait_millis NO_ROOM")).isEqualTo(50_000);
+    }
+
     /** Guards against lines for tasks that run. */
     @Test
     void runningTasksAreNotLogged() {
