One place for the steps that wait for a VM, and for sampling them

LongRunningWaitLogger repeated two parts of WaitingTimeRecorder: the search for due steps with ready tasks, and the examination of each n-th step in place of those that follow it. TaskPlacer and IdleRoom walked the same steps for one job.

Change: Job.readySteps and OwnerState.readySteps find the steps, StepSample.everyNth samples them. The logger looks up the longest-waiting task once instead of twice, calls VmSelector for one VM instead of a list of one, and names the causes of a VM without room in one set. The comments on the VMs for idle room say that suspected ones are left out.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/AdmissionGate.java
@@ -43,16 +43,17 @@
     /**
      * Creates the gate for a new term.
      *
-     * @param usableVms gives the VMs that may get start orders now
+     * @param trustedVms gives the VMs that may get start orders now and are not suspected to fail
+     *     them
      */
-    AdmissionGate(OwnerState state, AdmissionSettings settings, Supplier<List<Vm>> usableVms) {
+    AdmissionGate(OwnerState state, AdmissionSettings settings, Supplier<List<Vm>> trustedVms) {
         mState = state;
         mMeasurement = new WorkMeasurement(state);
         mController =
                 new AdmissionController<>(
                         settings, state.mTakenOverAt, state.mClock::monotonicNanos);
         mOverloads = new QueueOverloads(state.mLog);
-        mIdleRoom = new IdleRoom(state, usableVms);
+        mIdleRoom = new IdleRoom(state, trustedVms);
         state.mOnTaskDone = mMeasurement::taskDone;
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/IdleRoom.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/IdleRoom.java
@@ -40,7 +40,7 @@
     /**
      * Creates the view for one term.
      *
-     * @param vms gives the VMs that may get start orders now
+     * @param vms gives the VMs that may get start orders now and are not suspected to fail them
      */
     IdleRoom(OwnerState state, Supplier<List<Vm>> vms) {
         mState = state;
@@ -132,11 +132,7 @@
     }
 
     private void takeReadySteps(Job job, List<IdleVmRoom> rooms) {
-        job.mOccurrences.stream()
-                .filter(occurrence -> occurrence.due(mState.mClock.wallTime()))
-                .flatMap(occurrence -> occurrence.mSteps.stream())
-                .filter(Step::hasReadyTasks)
-                .forEach(step -> take(step, rooms));
+        job.readySteps(mState.mClock.wallTime()).forEach(step -> take(step, rooms));
     }
 
     /** Takes room for the waiting tasks of a step, also those that wait after a failed run. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Job.java
@@ -292,6 +292,18 @@
         return mOccurrences.stream().flatMap(occurrence -> occurrence.mSteps.stream());
     }
 
+    /**
+     * Returns the steps with tasks that wait for nothing but a VM.
+     *
+     * @param now wall time
+     */
+    Stream<Step> readySteps(Instant now) {
+        return mOccurrences.stream()
+                .filter(occurrence -> occurrence.due(now))
+                .flatMap(occurrence -> occurrence.mSteps.stream())
+                .filter(Step::hasReadyTasks);
+    }
+
     Stream<Task> tasks() {
         return steps().flatMap(step -> step.mTasks.stream());
     }
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/LongRunningWaitLogger.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Predicate;
 import java.util.stream.Collectors;
@@ -30,6 +31,13 @@
     /** The task has recently failed. */
     private static final String RETRY_BACKOFF = "RETRY_BACKOFF";
 
+    /** Causes that stand for a VM without room. */
+    private static final Set<String> NO_ROOM_CAUSES =
+            Set.of(
+                    VmClosure.NO_WORKER.name(),
+                    PlacementLimit.RULE.name(),
+                    PlacementLimit.RESERVATION.name());
+
     private final OwnerState mState;
     private final VmAvailability mAvailability;
     private long mLoggedAt;
@@ -51,29 +59,27 @@
             return;
         }
         mLoggedAt = mState.now();
-        List<Step> steps = waitingSteps();
+        List<Step> steps =
+                mState.readySteps().filter(step -> step.mSpec.traits().longRunning()).toList();
         int stride = Math.ceilDiv(steps.size(), MAX_EXAMINED_STEPS);
-        for (int i = 0; i < steps.size(); i += stride) {
-            List<Step> next = steps.subList(i, Math.min(i + stride, steps.size()));
-            long tasks = next.stream().mapToLong(step -> step.mWaitingTasks).sum();
-            examine(steps.get(i), tasks * elapsed, mayStart);
-        }
+        StepSample.everyNth(stride, steps).forEach(sample -> examine(sample, elapsed, mayStart));
     }
 
-    private void examine(Step step, long waitMillis, Predicate<Job> mayStart) {
-        Map<String, Integer> vmsByCause = countVms(step);
+    private void examine(StepSample sample, long elapsedMillis, Predicate<Job> mayStart) {
+        Step step = sample.step();
+        Task task = longestWaiting(step);
+        Map<String, Integer> vmsByCause = countVms(task);
         String cause = findMainCause(step, vmsByCause, mayStart.test(step.mJob));
-        mState.mLog.count(COUNTER, cause, waitMillis);
-        record(step, cause, vmsByCause);
+        mState.mLog.count(COUNTER, cause, sample.waitingTasks() * elapsedMillis);
+        record(task, cause, vmsByCause);
     }
 
-    private void record(Step step, String cause, Map<String, Integer> vmsByCause) {
-        Task task = firstWaiting(step);
+    private void record(Task task, String cause, Map<String, Integer> vmsByCause) {
         mState.mLog.record(
                 "task.waiting",
                 task.mName,
                 "tasks",
-                step.mWaitingTasks,
+                task.mStep.mWaitingTasks,
                 "waited_ms",
                 mState.now() - Math.max(task.mWaitingSince, mState.mTakenOverAt),
                 "cause",
@@ -82,22 +88,12 @@
                 vmsByCause);
     }
 
-    private List<Step> waitingSteps() {
-        return mState.unfinishedJobs().stream()
-                .flatMap(Job::steps)
-                .filter(step -> step.mSpec.traits().longRunning())
-                .filter(Step::hasReadyTasks)
-                .filter(step -> step.mOccurrence.due(mState.mClock.wallTime()))
-                .toList();
-    }
-
-    private static Task firstWaiting(Step step) {
+    private static Task longestWaiting(Step step) {
         return step.tasksInStartOrder().stream().filter(Task::waiting).findFirst().orElseThrow();
     }
 
-    private Map<String, Integer> countVms(Step step) {
-        Task task = firstWaiting(step);
-        String service = step.mJob.queue().service();
+    private Map<String, Integer> countVms(Task task) {
+        String service = task.mStep.mJob.queue().service();
         return mState.mVms.values().stream()
                 .filter(vm -> vm.mWorker == null || vm.mWorker.service().equals(service))
                 .collect(
@@ -111,11 +107,8 @@
         }
         PlacementLimit limit =
                 VmSelector.findLimit(
-                        task,
-                        List.of(vm),
-                        FillerRequirement.MINIMAL_SPEED,
-                        mState.mPressureEstimator);
-        if (limit == PlacementLimit.RULE || limit == PlacementLimit.RESERVATION) {
+                        task, vm, FillerRequirement.MINIMAL_SPEED, mState.mPressureEstimator);
+        if (NO_ROOM_CAUSES.contains(limit.name())) {
             return limit.name();
         }
         return mAvailability.closure(vm).map(VmClosure::name).orElse(limit.name());
@@ -130,9 +123,7 @@
             return step.mTasks.stream().anyMatch(Task::knownToWait) ? RETRY_BACKOFF : OWNER;
         }
         return vmsByCause.entrySet().stream()
-                .filter(entry -> !entry.getKey().equals(VmClosure.NO_WORKER.name()))
-                .filter(entry -> !entry.getKey().equals(PlacementLimit.RULE.name()))
-                .filter(entry -> !entry.getKey().equals(PlacementLimit.RESERVATION.name()))
+                .filter(entry -> !NO_ROOM_CAUSES.contains(entry.getKey()))
                 .max(Map.Entry.comparingByValue())
                 .map(Map.Entry::getKey)
                 .orElse(NO_ROOM);
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/OwnerState.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.jobs.owner;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
@@ -9,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.QueueKey;
@@ -129,6 +131,12 @@
         return Collections.unmodifiableCollection(mUnfinishedJobs);
     }
 
+    /** Returns the steps of unfinished jobs with tasks that wait for nothing but a VM. */
+    Stream<Step> readySteps() {
+        Instant now = mClock.wallTime();
+        return unfinishedJobs().stream().flatMap(job -> job.readySteps(now));
+    }
+
     /**
      * Returns a task; null if the job is unknown, has no such task or was loaded without its tasks.
      */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/TaskPlacer.java
@@ -173,11 +173,7 @@
             return;
         }
         updateLastActive(job);
-        job.mOccurrences.stream()
-                .filter(o -> o.due(mState.mClock.wallTime()))
-                .flatMap(o -> o.mSteps.stream())
-                .filter(Step::hasReadyTasks)
-                .forEach(step -> placeStep(step, vms));
+        job.readySteps(mState.mClock.wallTime()).forEach(step -> placeStep(step, vms));
         mFillerMover.move(job, vms);
     }
 
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/VmSelector.java
@@ -123,7 +123,8 @@
                 && (rule.maxPerVm() == 0 || vm.countRuns(step) < rule.maxPerVm());
     }
 
-    private static PlacementLimit findLimit(
+    /** Returns what prevents the placement of a task on a VM that has a worker. */
+    static PlacementLimit findLimit(
             Task task, Vm vm, FillerRequirement requirement, PressureEstimator pressureEstimator) {
         Step step = task.mStep;
         StepSpec spec = step.mSpec;
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/WaitingTimeRecorder.java
@@ -5,7 +5,6 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.stream.Collectors;
-import java.util.stream.IntStream;
 
 /**
  * Counts once a second how long ready tasks wait, by the priority of their queue and by what
@@ -54,7 +53,7 @@
         }
         mSampledAt = mState.now();
         long millis = Math.min(elapsed, MAX_SAMPLE_MILLIS);
-        List<Step> waitingSteps = waitingSteps();
+        List<Step> waitingSteps = mState.readySteps().toList();
         int stride = Math.ceilDiv(waitingSteps.size(), MAX_EXAMINED_STEPS);
         waitingSteps.stream()
                 .collect(Collectors.groupingBy(step -> step.mJob.queue().priority()))
@@ -69,26 +68,15 @@
                         mState.mLog.count(COUNTER, priority + "/" + cause, tasks * millis));
     }
 
-    private List<Step> waitingSteps() {
-        return mState.unfinishedJobs().stream()
-                .flatMap(Job::steps)
-                .filter(Step::hasReadyTasks)
-                .filter(step -> step.mOccurrence.due(mState.mClock.wallTime()))
-                .toList();
-    }
-
     /** Returns the number of waiting tasks by cause, from an examination of each n-th step. */
     private Map<String, Long> countWaitingTasks(
             List<Step> steps, int stride, Function<Task, PlacementLimit> limits) {
-        Map<String, Long> tasksByCause = new TreeMap<>();
-        for (int i = 0; i < steps.size(); i += stride) {
-            long tasks =
-                    IntStream.range(i, Math.min(i + stride, steps.size()))
-                            .mapToLong(n -> steps.get(n).mWaitingTasks)
-                            .sum();
-            tasksByCause.merge(findCause(steps.get(i), limits), tasks, Long::sum);
-        }
-        return tasksByCause;
+        return StepSample.everyNth(stride, steps)
+                .collect(
+                        Collectors.groupingBy(
+                                sample -> findCause(sample.step(), limits),
+                                TreeMap::new,
+                                Collectors.summingLong(StepSample::waitingTasks)));
     }
 
     /**
