Share the log of released runs, the progress of serving tasks and claimed time

RunReconciler and RunTracker wrote the same six fields for a run that is given up without its end; RunTracker does it for both now. READY_PERCENT stood in PressureSampler and ServingConsolidator; RunStatus, which defines the progress, holds it. Vm.milliCpuClaimed called its sibling without a task; the sum is the basis now, and a task's own claim is subtracted from it. A submission reads the clock once instead of once for each task.

--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/JobOwner.java
@@ -199,7 +199,8 @@
         if (refusal.isPresent()) {
             return refusal.get();
         }
-        job.tasks().forEach(task -> task.mWaitingSince = mState.now());
+        long now = mState.now();
+        job.tasks().forEach(task -> task.mWaitingSince = now);
         mState.addJob(job);
         mState.mLog.record(
                 "job.created",
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/PressureSampler.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/PressureSampler.java
@@ -8,9 +8,6 @@
 
 /** Samples how busy serving tasks are and what fillers use, from the lists of the VMs. */
 final class PressureSampler {
-    /** Progress that a long-running task reports while it serves requests. */
-    private static final int READY_PERCENT = 100;
-
     private final OwnerState mState;
 
     PressureSampler(OwnerState state) {
@@ -28,7 +25,7 @@
                 continue;
             }
             var spec = task.mStep.mSpec;
-            if (spec.serving() && listedRun.percent() == READY_PERCENT) {
+            if (spec.serving() && listedRun.percent() == RunStatus.READY_PERCENT) {
                 double relativeLatency =
                         (double) listedRun.measuredValue() / spec.latencyObjective().toMillis();
                 utilization.put(
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunReconciler.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunReconciler.java
@@ -101,7 +101,7 @@
         List.copyOf(vm.mRuns.values()).stream()
                 .filter(run -> !present.contains(run.mTask.mName))
                 .filter(run -> run.mOrderedAt < coveredBefore)
-                .forEach(run -> releaseAbsentRun(vm, run));
+                .forEach(mRunTracker::releaseAbsent);
     }
 
     /** Returns the monotonic time in milliseconds before which all orders are covered. */
@@ -114,24 +114,6 @@
         };
     }
 
-    /** Releases a run that its VM no longer lists. */
-    private void releaseAbsentRun(Vm vm, Run run) {
-        mState.mLog.record(
-                "task.absent",
-                run.mTask.mName,
-                "run",
-                run.mNumber,
-                "vm",
-                vm.mAgent.value(),
-                "worker",
-                vm.mWorker.id(),
-                "confirmed",
-                run.mStartConfirmed,
-                "ordered_ms_ago",
-                mState.now() - run.mOrderedAt);
-        mRunTracker.release(run);
-    }
-
     /**
      * Stops a run before it starts, unless the present incarnation of the worker lists it. Its
      * order may still reach that incarnation, and an agent that has started again doesn't know of
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/RunTracker.java
@@ -1,6 +1,7 @@
 package org.knapweedbank.jobs.owner;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedRun;
@@ -132,28 +133,38 @@
         List.copyOf(vm.mRuns.values())
                 .forEach(
                         run -> {
-                            Task task = run.mTask;
-                            mState.mLog.record(
-                                    "task.lost",
-                                    task.mName,
-                                    "run",
-                                    run.mNumber,
-                                    "vm",
-                                    vm.mAgent.value(),
-                                    "worker",
-                                    vm.mWorker.id(),
-                                    "confirmed",
-                                    run.mStartConfirmed,
-                                    "ordered_ms_ago",
-                                    mState.now() - run.mOrderedAt,
-                                    "reason",
-                                    reason);
-                            saveCheckpoint(task, run.mCheckpoint);
+                            logRelease("task.lost", run, "reason", reason);
+                            saveCheckpoint(run.mTask, run.mCheckpoint);
                             release(run);
                         });
         vm.mUnwantedTasks.clear();
     }
 
+    /** Releases a run that its VM no longer lists. */
+    void releaseAbsent(Run run) {
+        logRelease("task.absent", run);
+        release(run);
+    }
+
+    /** Logs that a run is given up without its end. */
+    private void logRelease(String event, Run run, Object... more) {
+        List<Object> fields =
+                new ArrayList<>(
+                        List.of(
+                                "run",
+                                run.mNumber,
+                                "vm",
+                                run.mVm.mAgent.value(),
+                                "worker",
+                                run.mVm.mWorker.id(),
+                                "confirmed",
+                                run.mStartConfirmed,
+                                "ordered_ms_ago",
+                                mState.now() - run.mOrderedAt));
+        fields.addAll(List.of(more));
+        mState.mLog.record(event, run.mTask.mName, fields.toArray());
+    }
+
     /**
      * Sends a stop order for a run. Its resources stay reserved until the worker reports its end.
      */
@@ -305,7 +316,7 @@
                 Math.round(job.mUsedCoreMillis));
     }
 
-    /** Returns whether a batch task has failed on another VM before, as those of faulty jobs do. */
+    /** Returns whether a batch task has failed or stalled on another VM before. */
     private static boolean mayBeFaulty(Task task, Vm vm) {
         return !task.mStep.mSpec.traits().longRunning()
                 && task.mAvoidedVms.stream().anyMatch(agent -> !agent.equals(vm.mAgent));
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/ServingConsolidator.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.knapweedbank.jobs.RunStatus;
 
 /**
  * Moves the serving tasks of VMs with few serving tasks to VMs with more of them, when fillers lack
@@ -38,9 +39,6 @@
     /** Number of moves after which a task is left on its VM. */
     private static final int MAX_MOVES = 3;
 
-    /** Progress that a long-running task reports while it serves requests. */
-    private static final int READY_PERCENT = 100;
-
     private final OwnerState mState;
     private final RunTracker mRunTracker;
 
@@ -204,7 +202,8 @@
                                 t ->
                                         t.mRun != null
                                                 && !t.mRun.mStopping
-                                                && t.mRun.mProgressPercent == READY_PERCENT);
+                                                && t.mRun.mProgressPercent
+                                                        == RunStatus.READY_PERCENT);
     }
 
     /** Returns the serving tasks of a VM, the largest first. */
--- a/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
+++ b/jobs/src/main/java/org/knapweedbank/jobs/owner/Vm.java
@@ -145,20 +145,19 @@
      * @param task task whose own claim does not count
      */
     long milliCpuClaimedByOthers(Task task) {
+        return milliCpuClaimed() - (hasClaimOf(task) ? task.mStep.mSpec.perTask().milliCpu() : 0);
+    }
+
+    /** Returns the processor time that moving tasks claim, in thousandths of a core. */
+    long milliCpuClaimed() {
         if (mClaims.isEmpty()) {
             return 0;
         }
         return mClaims.keySet().stream()
-                .filter(claimingTask -> claimingTask != task)
-                .mapToLong(claimingTask -> claimingTask.mStep.mSpec.perTask().milliCpu())
+                .mapToLong(task -> task.mStep.mSpec.perTask().milliCpu())
                 .sum();
     }
 
-    /** Returns the processor time that moving tasks claim, in thousandths of a core. */
-    long milliCpuClaimed() {
-        return milliCpuClaimedByOthers(null);
-    }
-
     /** Returns the resources that are claimed by tasks that move to this VM. */
     Resources claimed() {
         return mClaims.keySet().stream()
