Tests: create owners in one place

WorkerLossTest, HandOverTest and the new LongRunningTaskTest each held the same settings, the same construction of an OwnershipTerm and the same periodic confirmation; ExploredOwners held the settings. OwnershipFixture serves all four. Two tests of LongRunningTaskTest that begin alike share the beginning.

--- a/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/ExploredOwners.java
@@ -7,8 +7,6 @@
 import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.owner.JobOwner;
-import org.knapweedbank.jobs.owner.OwnerSettings;
-import org.knapweedbank.jobs.owner.SchedulingSettings;
 import org.knapweedbank.jobs.owner.Takeover;
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.node.ManualTimers;
@@ -22,7 +20,6 @@
 /** Owners of the explorer, one after the other, and their store. */
 final class ExploredOwners {
     static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(5);
 
     /** Time after which the next owner replaces one that was killed. */
     private static final Duration OWNER_KEY_LEASE = Duration.ofSeconds(6);
@@ -83,23 +80,11 @@
             mTermOfOtherEntry = term;
         }
         mStore.apply(new StoreChange().put(StoreKeys.TERM, Long.toString(term).getBytes(), 0));
-        OwnerSettings owner =
-                new OwnerSettings(
-                        LEASE,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(1),
-                        Duration.ofSeconds(6),
-                        Duration.ofMillis(400),
-                        Duration.ofSeconds(3),
-                        Duration.ofSeconds(4),
-                        Duration.ofSeconds(150),
-                        1,
-                        SchedulingSettings.DISABLED);
         mCurrentStore = new SeverableStore(mStore, mTimers);
         OwnershipTerm[] created = new OwnershipTerm[1];
         created[0] =
                 new OwnershipTerm(
-                        new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner),
+                        OwnershipFixture.settings(),
                         mClock,
                         mTimers,
                         mCurrentStore,
--- a/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/HandOverTest.java
@@ -5,41 +5,26 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.knapweedbank.jobs.DecisionLog;
-import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
-import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.Timetable;
-import org.knapweedbank.jobs.owner.JobOwner;
-import org.knapweedbank.jobs.owner.OwnerSettings;
-import org.knapweedbank.jobs.owner.SchedulingSettings;
-import org.knapweedbank.jobs.owner.Takeover;
-import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.node.CallRequest;
 import org.knapweedbank.node.ManualTimers;
-import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests that each task runs once while orders of a former owner are under way. */
 class HandOverTest {
-    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(5);
-    private static final Duration OBJECTIVE = Duration.ofSeconds(1);
-    private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
     private static final int TASKS = 6;
 
     /** Time within which the starts of a submitted job arrive. */
@@ -48,6 +33,7 @@
     private final ManualClock mClock = new ManualClock();
     private final ManualTimers mTimers = new ManualTimers(mClock);
     private final FakeStore mStore = new FakeStore(mTimers);
+    private final OwnershipFixture mOwners = new OwnershipFixture(mClock, mTimers, mStore);
     private final RunHistory mHistory = new RunHistory();
     private final List<VmFixture> mVms = List.of(newVm("vm-0"), newVm("vm-1"));
     private OwnershipTerm mOwnership;
@@ -75,54 +61,18 @@
     /** Starts the owner of the next term; the former one runs on without confirmations. */
     private void startNextOwner() {
         mTerm++;
-        mStore.apply(new StoreChange().put(StoreKeys.TERM, Long.toString(mTerm).getBytes(), 0));
-        OwnerSettings owner =
-                new OwnerSettings(
-                        LEASE,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(1),
-                        Duration.ofSeconds(6),
-                        Duration.ofMillis(400),
-                        Duration.ofSeconds(3),
-                        Duration.ofSeconds(4),
-                        Duration.ofSeconds(150),
-                        1,
-                        SchedulingSettings.DISABLED);
-        mOwnership =
-                new OwnershipTerm(
-                        new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner),
-                        mClock,
-                        mTimers,
-                        mStore,
-                        DecisionLog.NONE,
-                        new Takeover(mTerm, Timestamp.now(mClock), true),
-                        mStore.item(StoreKeys.TERM).revision(),
-                        () -> Set.of(new DaemonId("other")),
-                        () -> {});
+        mOwnership = mOwners.createOwner(mTerm);
         long term = mTerm;
-        mOwnership.load(started -> confirmPeriodically(started, term));
+        mOwnership.load(owner -> mOwners.confirmPeriodically(owner, () -> term == mTerm));
         mTimers.advance(Duration.ofMillis(100));
     }
 
-    private void confirmPeriodically(JobOwner owner, long term) {
-        owner.configure(List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, OBJECTIVE, OBJECTIVE)));
-        owner.markViewCurrent();
-        mTimers.every(
-                CONFIRM_INTERVAL,
-                () -> {
-                    if (term == mTerm) {
-                        owner.confirmByStore(Timestamp.now(mClock));
-                    }
-                    owner.markViewCurrent();
-                });
-    }
-
     private void submit(OwnershipTerm owner, String id) {
         StepSpec step =
                 new StepSpec(
                         TASKS,
                         new Resources(480, 960, 0),
-                        OBJECTIVE,
+                        OwnershipFixture.OBJECTIVE,
                         List.of(),
                         StepTraits.BATCH,
                         PlacementRule.ANYWHERE,
@@ -130,7 +80,7 @@
                         Duration.ZERO,
                         -1);
         JobSubmission job = new JobSubmission(new JobId(id), "", List.of(step), Timetable.ONCE);
-        owner.call(new CallRequest.Submit(QUEUE, job), answer -> mAnswers++);
+        owner.call(new CallRequest.Submit(OwnershipFixture.QUEUE, job), answer -> mAnswers++);
     }
 
     private static List<TaskName> tasks(String job) {
--- a/node/src/test/java/org/knapweedbank/node/entry/LongRunningTaskTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/LongRunningTaskTest.java
@@ -2,43 +2,26 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
-import org.knapweedbank.jobs.DecisionLog;
-import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
-import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.Timetable;
-import org.knapweedbank.jobs.owner.JobOwner;
-import org.knapweedbank.jobs.owner.OwnerSettings;
-import org.knapweedbank.jobs.owner.SchedulingSettings;
-import org.knapweedbank.jobs.owner.Takeover;
-import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.node.CallRequest;
 import org.knapweedbank.node.ManualTimers;
-import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests of how soon long-running tasks run again while agents, workers and owners fail. */
 class LongRunningTaskTest {
-    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(5);
-    private static final Duration OBJECTIVE = Duration.ofSeconds(1);
-    private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
-
     /** Time within which a task runs again once nothing disturbs its VMs any more. */
     private static final Duration MAX_WAIT = Duration.ofSeconds(3);
 
@@ -53,6 +36,7 @@
     private final ManualClock mClock = new ManualClock();
     private final ManualTimers mTimers = new ManualTimers(mClock);
     private final FakeStore mStore = new FakeStore(mTimers);
+    private final OwnershipFixture mOwners = new OwnershipFixture(mClock, mTimers, mStore);
     private final RunHistory mHistory = new RunHistory();
     private final List<VmFixture> mVms = List.of(newVm("vm-0"), newVm("vm-1"));
     private OwnershipTerm mOwnership;
@@ -76,46 +60,11 @@
 
     private void startNextOwner() {
         mTerm++;
-        byte[] term = Long.toString(mTerm).getBytes(StandardCharsets.UTF_8);
-        mStore.apply(new StoreChange().put(StoreKeys.TERM, term, 0));
-        OwnerSettings owner =
-                new OwnerSettings(
-                        LEASE,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(1),
-                        Duration.ofSeconds(6),
-                        Duration.ofMillis(400),
-                        Duration.ofSeconds(3),
-                        Duration.ofSeconds(4),
-                        Duration.ofSeconds(150),
-                        1,
-                        SchedulingSettings.DISABLED);
-        mOwnership =
-                new OwnershipTerm(
-                        new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner),
-                        mClock,
-                        mTimers,
-                        mStore,
-                        DecisionLog.NONE,
-                        new Takeover(mTerm, Timestamp.now(mClock), true),
-                        mStore.item(StoreKeys.TERM).revision(),
-                        () -> Set.of(new DaemonId("other")),
-                        () -> {});
-        mOwnership.load(this::confirmPeriodically);
+        mOwnership = mOwners.createOwner(mTerm);
+        mOwnership.load(owner -> mOwners.confirmPeriodically(owner, () -> true));
         mTimers.advance(Duration.ofMillis(100));
     }
 
-    private void confirmPeriodically(JobOwner owner) {
-        owner.configure(List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, OBJECTIVE, OBJECTIVE)));
-        owner.markViewCurrent();
-        mTimers.every(
-                CONFIRM_INTERVAL,
-                () -> {
-                    owner.confirmByStore(Timestamp.now(mClock));
-                    owner.markViewCurrent();
-                });
-    }
-
     /** Starts the owner of the next term after a second in which there is none. */
     private void changeOwner() {
         mOwnership.stop();
@@ -131,7 +80,7 @@
                 new StepSpec(
                         tasks,
                         perTask,
-                        OBJECTIVE,
+                        OwnershipFixture.OBJECTIVE,
                         List.of(),
                         new StepTraits(false, false, false, true, false),
                         PlacementRule.ANYWHERE,
@@ -139,12 +88,23 @@
                         Duration.ZERO,
                         -1);
         JobSubmission job = new JobSubmission(new JobId(id), "", List.of(step), Timetable.ONCE);
-        mOwnership.call(new CallRequest.Submit(QUEUE, job), answer -> {});
+        mOwnership.call(new CallRequest.Submit(OwnershipFixture.QUEUE, job), answer -> {});
         mTimers.advance(Duration.ofSeconds(1));
     }
 
     private void cancel(String id) {
-        mOwnership.call(new CallRequest.Cancel(QUEUE, new JobId(id)), answer -> {});
+        mOwnership.call(
+                new CallRequest.Cancel(OwnershipFixture.QUEUE, new JobId(id)), answer -> {});
+    }
+
+    /** Starts the job "b" under a new owner while the runs of the cancelled job "a" go on. */
+    private void startJobAfterLostStops() {
+        start("a", 2, WHOLE_VM);
+        mVms.forEach(vm -> vm.mWorker.mStopsLost = true);
+        cancel("a");
+        mTimers.advance(Duration.ofMillis(200));
+        changeOwner();
+        start("b", 2, WHOLE_VM);
     }
 
     private List<TaskName> tasks(String job, int count) {
@@ -157,12 +117,7 @@
      */
     @Test
     void vmIsUsedSoonAfterLostStopsOfUnwantedRuns() {
-        start("a", 2, WHOLE_VM);
-        mVms.forEach(vm -> vm.mWorker.mStopsLost = true);
-        cancel("a");
-        mTimers.advance(Duration.ofMillis(200));
-        changeOwner();
-        start("b", 2, WHOLE_VM);
+        startJobAfterLostStops();
         mTimers.advance(Duration.ofSeconds(4));
         assertThat(mHistory.running()).containsExactlyElementsIn(tasks("a", 2));
         mVms.forEach(vm -> vm.mWorker.mStopsLost = false);
@@ -176,12 +131,7 @@
      */
     @Test
     void vmIsUsedSoonAfterAgentWithUnwantedRunsRestarted() {
-        start("a", 2, WHOLE_VM);
-        mVms.forEach(vm -> vm.mWorker.mStopsLost = true);
-        cancel("a");
-        mTimers.advance(Duration.ofMillis(200));
-        changeOwner();
-        start("b", 2, WHOLE_VM);
+        startJobAfterLostStops();
         mVms.forEach(VmFixture::killAgent);
         mTimers.advance(Duration.ofSeconds(6));
         mVms.forEach(vm -> vm.mWorker.mStopsLost = false);
--- a/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
+++ b/node/src/test/java/org/knapweedbank/node/entry/WorkerLossTest.java
@@ -4,49 +4,35 @@
 
 import java.time.Duration;
 import java.util.List;
-import java.util.Set;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
-import org.knapweedbank.jobs.DecisionLog;
-import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.JobState;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.PlacementRule;
-import org.knapweedbank.jobs.QueueKey;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.jobs.Timetable;
 import org.knapweedbank.jobs.WorkerId;
 import org.knapweedbank.jobs.WorkerInfo;
-import org.knapweedbank.jobs.owner.JobOwner;
-import org.knapweedbank.jobs.owner.OwnerSettings;
-import org.knapweedbank.jobs.owner.SchedulingSettings;
-import org.knapweedbank.jobs.owner.Takeover;
-import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.node.CallAnswer;
 import org.knapweedbank.node.CallRequest;
 import org.knapweedbank.node.ManualTimers;
-import org.knapweedbank.node.store.StoreChange;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests that each task runs once while workers, agents, owners and the store fail. */
 class WorkerLossTest {
-    private static final QueueKey QUEUE = new QueueKey("host", "/q/");
-    private static final Duration LEASE = Duration.ofSeconds(5);
-    private static final Duration OBJECTIVE = Duration.ofSeconds(1);
     private static final Duration OWNER_KEY_LEASE = Duration.ofMillis(1_500);
-    private static final Duration CONFIRM_INTERVAL = Duration.ofMillis(100);
     private static final int TASKS = 6;
 
     private final ManualClock mClock = new ManualClock();
     private final ManualTimers mTimers = new ManualTimers(mClock);
     private final FakeStore mStore = new FakeStore(mTimers);
+    private final OwnershipFixture mOwners = new OwnershipFixture(mClock, mTimers, mStore);
     private final RunHistory mHistory = new RunHistory();
     private final List<VmFixture> mVms = List.of(newVm("vm-0"), newVm("vm-1"));
     private OwnershipTerm mOwnership;
@@ -59,7 +45,6 @@
     @BeforeEach
     void startVms() {
         mTimers.advance(Duration.ofSeconds(10));
-        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'1'}, 0));
         startOwner(1);
         mVms.forEach(VmFixture::startAgent);
         mVms.get(0).startWorker("w-0", Duration.ZERO);
@@ -68,51 +53,17 @@
     }
 
     private void startOwner(long term) {
-        OwnerSettings owner =
-                new OwnerSettings(
-                        LEASE,
-                        Duration.ofSeconds(10),
-                        Duration.ofSeconds(1),
-                        Duration.ofSeconds(6),
-                        Duration.ofMillis(400),
-                        Duration.ofSeconds(3),
-                        Duration.ofSeconds(4),
-                        Duration.ofSeconds(150),
-                        1,
-                        SchedulingSettings.DISABLED);
-        EntrySettings settings = new EntrySettings(new DaemonId("e"), 1, "e", 1, 1, LEASE, owner);
-        mOwnership =
-                new OwnershipTerm(
-                        settings,
-                        mClock,
-                        mTimers,
-                        mStore,
-                        DecisionLog.NONE,
-                        new Takeover(term, Timestamp.now(mClock), true),
-                        mStore.item(StoreKeys.TERM).revision(),
-                        () -> Set.of(new DaemonId("other")),
-                        () -> {});
-        mOwnership.load(this::confirmPeriodically);
+        mOwnership = mOwners.createOwner(term);
+        mOwnership.load(owner -> mOwners.confirmPeriodically(owner, () -> true));
         mTimers.advance(Duration.ofMillis(100));
     }
 
-    private void confirmPeriodically(JobOwner owner) {
-        owner.configure(List.of(new JobQueue(QUEUE, "svc", 0, 1, 1, OBJECTIVE, OBJECTIVE)));
-        owner.markViewCurrent();
-        mTimers.every(
-                CONFIRM_INTERVAL,
-                () -> {
-                    owner.confirmByStore(Timestamp.now(mClock));
-                    owner.markViewCurrent();
-                });
-    }
-
     private void submit(String id) {
         StepSpec step =
                 new StepSpec(
                         TASKS,
                         new Resources(480, 960, 0),
-                        OBJECTIVE,
+                        OwnershipFixture.OBJECTIVE,
                         List.of(),
                         StepTraits.BATCH,
                         PlacementRule.ANYWHERE,
@@ -120,7 +71,7 @@
                         Duration.ZERO,
                         -1);
         JobSubmission job = new JobSubmission(new JobId(id), "", List.of(step), Timetable.ONCE);
-        mOwnership.call(new CallRequest.Submit(QUEUE, job), answer -> {});
+        mOwnership.call(new CallRequest.Submit(OwnershipFixture.QUEUE, job), answer -> {});
     }
 
     private List<TaskName> tasks(String job) {
@@ -334,7 +285,6 @@
         mOwnership.stop();
         mVms.forEach(VmFixture::disconnect);
         mTimers.advance(Duration.ofSeconds(1));
-        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'2'}, 0));
         startOwner(2);
         mVms.forEach(VmFixture::reconnect);
     }
@@ -365,7 +315,6 @@
         busy.killAgent();
         mVms.stream().filter(vm -> vm != busy).forEach(VmFixture::disconnect);
         mTimers.advance(OWNER_KEY_LEASE.plusMillis(500));
-        mStore.apply(new StoreChange().put(StoreKeys.TERM, new byte[] {'2'}, 0));
         startOwner(2);
         mVms.stream().filter(vm -> vm != busy).forEach(VmFixture::reconnect);
         mTimers.advance(Duration.ofMillis(6_900));
@@ -769,7 +718,9 @@
         submit("b");
         mTimers.advance(Duration.ofSeconds(4));
         CallAnswer[] state = new CallAnswer[1];
-        mOwnership.call(new CallRequest.Read(QUEUE, new JobId("b")), answer -> state[0] = answer);
+        mOwnership.call(
+                new CallRequest.Read(OwnershipFixture.QUEUE, new JobId("b")),
+                answer -> state[0] = answer);
         assertThat(state[0]).isEqualTo(new CallAnswer.State(JobState.COMPLETED));
     }
 
