Tests: one state of an owner, one check of a wait, no unused behaviours

Four tests built the same OwnerState; OwnerFixture.createState does. Four cases of TakeoverTest checked the start after a time in the same five lines. SuspendedVmTest and SuspicionLimitsTest submitted jobs by the same two methods, which are WorkerSimulation's now.

Assertions and bounds are unchanged; all tests of jobs pass.

--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/IdleRoomTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/IdleRoomTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
@@ -20,7 +19,6 @@
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests which room counts as idle, on a VM of 8 cores. */
 class IdleRoomTest {
@@ -28,13 +26,7 @@
     private static final long CORE = 1_000;
 
     private final ManualClock mClock = new ManualClock(Instant.ofEpochSecond(1_000));
-    private final OwnerState mState =
-            new OwnerState(
-                    OwnerFixture.SETTINGS,
-                    mClock,
-                    new OwnerFixture(),
-                    DecisionLog.NONE,
-                    new Takeover(1, Timestamp.now(mClock), true));
+    private final OwnerState mState = OwnerFixture.createState(OwnerFixture.SETTINGS, mClock, 1);
     private final RunTracker mRunTracker = new RunTracker(mState);
     private final List<Vm> mUsable = new ArrayList<>();
     private final IdleRoom mIdleRoom = new IdleRoom(mState, () -> List.copyOf(mUsable));
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/OwnerFixture.java
@@ -130,6 +130,16 @@
                 scheduling);
     }
 
+    /** Returns the state of an owner whose orders and log lines are discarded. */
+    static OwnerState createState(OwnerSettings settings, ManualClock clock, long term) {
+        return new OwnerState(
+                settings,
+                clock,
+                new OwnerFixture(),
+                DecisionLog.NONE,
+                new Takeover(term, Timestamp.now(clock), true));
+    }
+
     /** Returns an owner that refuses jobs under overload, with the default limits. */
     static OwnerFixture withAdmission() {
         AdmissionSettings off = AdmissionSettings.DISABLED;
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/RunTimeAccuracyTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/RunTimeAccuracyTest.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
-import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.EndedRun;
 import org.knapweedbank.jobs.JobSubmission;
@@ -17,7 +16,6 @@
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests of the ratio of latest to expected run times. */
 class RunTimeAccuracyTest {
@@ -46,18 +44,14 @@
     void adoptedRunsAreNotObserved() {
         ManualClock clock = new ManualClock(Instant.ofEpochSecond(1_000));
         OwnerState state =
-                new OwnerState(
-                        OwnerFixture.settings(MixedLoad.scheduling(true)),
-                        clock,
-                        null,
-                        DecisionLog.NONE,
-                        new Takeover(2, Timestamp.now(clock), true));
+                OwnerFixture.createState(
+                        OwnerFixture.settings(MixedLoad.scheduling(true)), clock, 2);
         StepSpec step = OwnerFixture.step(20, 1_000, StepTraits.BATCH);
         JobSubmission submission =
                 new JobSubmission(new JobId("j"), "", List.of(step), Timetable.ONCE);
         Job job = new Job(submission, OwnerFixture.queue(2), clock.wallTime());
         state.addJob(job);
-        Vm vm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, new ManualClock(Instant.EPOCH));
+        Vm vm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, clock);
         RunTracker tracker = new RunTracker(state);
         List<Task> tasks = job.tasks().toList();
         tasks.forEach(task -> tracker.adopt(task, vm, 1));
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/SuspendedVmTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/SuspendedVmTest.java
@@ -9,7 +9,6 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.knapweedbank.jobs.JobState;
-import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.TaskName;
 
 /** Tests that a suspended VM limits what a faulty worker can harm, and holds nothing up. */
@@ -22,17 +21,8 @@
 
     private WorkerSimulation mSimulation;
 
-    private OwnerFixture start(long milliCpu, String... vms) {
+    private void start(long milliCpu, String... vms) {
         mSimulation = new WorkerSimulation(new OwnerFixture(), milliCpu, vms);
-        return mSimulation.mFixture;
-    }
-
-    private void submitLongRunning(String id, int count, long milliCpu) {
-        mSimulation.mFixture.submit(id, OwnerFixture.servingStep(count, milliCpu, 0));
-    }
-
-    private Job submitBatch(String id, int count) {
-        return mSimulation.mFixture.submit(id, OwnerFixture.step(count, 1_000, StepTraits.BATCH));
     }
 
     /**
@@ -41,8 +31,8 @@
     @Test
     void rareFailuresOfLongRunningTasksDoNotDelayThem() {
         start(8_000, "a");
-        submitLongRunning("web-0", 1, 1_000);
-        submitLongRunning("web-1", 1, 1_000);
+        mSimulation.submitLongRunning("web-0", 1, 1_000);
+        mSimulation.submitLongRunning("web-1", 1, 1_000);
         for (int i = 0; i < 8; i++) {
             mSimulation.advance(Duration.ofMinutes(1));
             String failing = "web-" + i % 2;
@@ -55,16 +45,16 @@
     @Test
     void tasksStartSoonAfterAllWorkersHaveRecovered() {
         start(8_000, VMS);
-        IntStream.range(0, 4).forEach(i -> submitLongRunning("web-" + i, 4, 1_000));
+        IntStream.range(0, 4).forEach(i -> mSimulation.submitLongRunning("web-" + i, 4, 1_000));
         mSimulation.advance(Duration.ofSeconds(2));
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, VMS);
         IntStream.range(0, 4).forEach(i -> mSimulation.failRunning("web-" + i));
         for (int i = 0; i < 16; i++) {
-            submitBatch("failing-" + i, 8);
+            mSimulation.submitBatch("failing-" + i, 8);
             mSimulation.advance(Duration.ofSeconds(1));
         }
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.SOUND, VMS);
-        submitBatch("batch", 2);
+        mSimulation.submitBatch("batch", 2);
         assertThat(mSimulation.advanceUntilRunning("batch", 1, LONG)).isAtMost(MAX_WAIT);
         mSimulation.advance(MAX_WAIT);
         for (int i = 0; i < 4; i++) {
@@ -76,13 +66,13 @@
     @Test
     void faultyJobsDoNotDelayLongRunningTasks() {
         start(8_000, VMS);
-        submitLongRunning("web", 4, 8_000);
+        mSimulation.submitLongRunning("web", 4, 8_000);
         mSimulation.advance(Duration.ofSeconds(2));
         mSimulation.failRunning("web");
         Duration longest = Duration.ZERO;
         for (int i = 0; i < 20; i++) {
             mSimulation.addFaultyJob("faulty-" + i);
-            submitBatch("faulty-" + i, 8);
+            mSimulation.submitBatch("faulty-" + i, 8);
             Duration wait = mSimulation.advanceUntilRunning("web", 4, LONG);
             longest = longest.compareTo(wait) > 0 ? longest : wait;
             mSimulation.failRunning("web");
@@ -95,7 +85,7 @@
     void faultyVmTakesOneTaskAtATime() {
         start(8_000, "a", "faulty");
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "faulty");
-        IntStream.range(0, 40).forEach(i -> submitBatch("batch-" + i, 8));
+        IntStream.range(0, 40).forEach(i -> mSimulation.submitBatch("batch-" + i, 8));
         mSimulation.advance(Duration.ofSeconds(1));
         long failedAtFirst = mSimulation.countFailed("faulty");
         mSimulation.advance(Duration.ofSeconds(10));
@@ -108,7 +98,9 @@
         start(8_000, "a", "faulty");
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "faulty");
         List<Job> jobs =
-                IntStream.range(0, 20).mapToObj(i -> submitBatch("batch-" + i, 8)).toList();
+                IntStream.range(0, 20)
+                        .mapToObj(i -> mSimulation.submitBatch("batch-" + i, 8))
+                        .toList();
         mSimulation.advance(LONG);
         assertThat(jobs.stream().filter(job -> job.state() == JobState.FAILED).toList()).isEmpty();
         assertThat(jobs.stream().map(Job::state).distinct()).containsExactly(JobState.COMPLETED);
@@ -119,11 +111,11 @@
     void soundVmsAreUsedFirst() {
         start(8_000, "a", "faulty");
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "faulty");
-        IntStream.range(0, 4).forEach(i -> submitBatch("batch-" + i, 8));
+        IntStream.range(0, 4).forEach(i -> mSimulation.submitBatch("batch-" + i, 8));
         mSimulation.advance(Duration.ofSeconds(8));
         long failedAtFirst = mSimulation.countFailed("faulty");
         for (int i = 0; i < 6; i++) {
-            submitBatch("later-" + i, 4);
+            mSimulation.submitBatch("later-" + i, 4);
             mSimulation.advance(Duration.ofSeconds(2));
         }
         assertThat(mSimulation.countFailed("faulty") - failedAtFirst).isAtMost(3);
@@ -133,12 +125,12 @@
     @Test
     void tasksStartSoonAfterAllWorkersHaveStoodStill() {
         start(8_000, VMS);
-        submitBatch("batch", 4);
+        mSimulation.submitBatch("batch", 4);
         mSimulation.advance(Duration.ofMillis(300));
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.HANGS, VMS);
         mSimulation.advance(Duration.ofSeconds(12));
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.SOUND, VMS);
-        submitLongRunning("web", 4, 4_000);
+        mSimulation.submitLongRunning("web", 4, 4_000);
         assertThat(mSimulation.advanceUntilRunning("web", 4, LONG)).isAtMost(MAX_WAIT);
     }
 
@@ -147,9 +139,9 @@
     void taskOnLastAttemptDoesNotHoldUpItsStep() {
         start(1_000, "a");
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "a");
-        submitBatch("other", 1);
+        mSimulation.submitBatch("other", 1);
         mSimulation.advance(Duration.ofMillis(50));
-        submitBatch("batch", 3);
+        mSimulation.submitBatch("batch", 3);
         mSimulation.advance(Duration.ofMillis(100));
         assertThat(mSimulation.failed()).hasSize(3);
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.SOUND, "a");
@@ -162,7 +154,7 @@
     void failedTaskMovesToAnotherVm() {
         start(8_000, "a", "faulty");
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "faulty");
-        submitBatch("batch", 8);
+        mSimulation.submitBatch("batch", 8);
         mSimulation.advance(Duration.ofSeconds(5));
         Set<TaskName> failed = new HashSet<>();
         mSimulation.failed().forEach(order -> assertThat(failed.add(order.mTask())).isTrue());
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/SuspicionLimitsTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/SuspicionLimitsTest.java
@@ -24,14 +24,6 @@
         mSimulation = new WorkerSimulation(new OwnerFixture(), milliCpu, vms);
     }
 
-    private void submitLongRunning(String id, int count, long milliCpu) {
-        mSimulation.mFixture.submit(id, OwnerFixture.servingStep(count, milliCpu, 0));
-    }
-
-    private Job submitBatch(String id, int count) {
-        return mSimulation.mFixture.submit(id, OwnerFixture.step(count, 1_000, StepTraits.BATCH));
-    }
-
     /**
      * Guards against a suspicion that lasts as long as the failed runs had lasted, and against a VM
      * that takes one task a second for all that time.
@@ -39,7 +31,7 @@
     @Test
     void tasksReturnSoonAfterOldRunsHaveFailed() {
         start(32_000, VMS);
-        IntStream.range(0, 4).forEach(i -> submitLongRunning("web-" + i, 30, 1_000));
+        IntStream.range(0, 4).forEach(i -> mSimulation.submitLongRunning("web-" + i, 30, 1_000));
         mSimulation.advance(LONG);
         IntStream.range(0, 4).forEach(i -> mSimulation.failRunning("web-" + i));
         for (int i = 0; i < 4; i++) {
@@ -51,7 +43,7 @@
     @Test
     void tasksReturnSoonAfterWorkersWithOldRunsHaveRecovered() {
         start(32_000, VMS);
-        IntStream.range(0, 4).forEach(i -> submitLongRunning("web-" + i, 30, 1_000));
+        IntStream.range(0, 4).forEach(i -> mSimulation.submitLongRunning("web-" + i, 30, 1_000));
         mSimulation.advance(LONG);
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, VMS);
         IntStream.range(0, 4).forEach(i -> mSimulation.failRunning("web-" + i));
@@ -68,7 +60,7 @@
     void taskLeavesFaultyVmAfterEarlierFailureElsewhere() {
         start(8_000, "a", "b");
         mSimulation.setBehaviour(WorkerSimulation.Behaviour.FAILS_STARTS, "a");
-        IntStream.range(0, 4).forEach(i -> submitLongRunning("web-" + i, 1, 1_000));
+        IntStream.range(0, 4).forEach(i -> mSimulation.submitLongRunning("web-" + i, 1, 1_000));
         mSimulation.advance(Duration.ofSeconds(20));
         String faulty = mSimulation.vmOf("web-0");
         assertThat(faulty).isEqualTo("b");
@@ -85,7 +77,7 @@
     @Test
     void faultyJobsLeaveTrialsToLongRunningTasks() {
         start(32_000, VMS);
-        submitLongRunning("web", 4, 1_000);
+        mSimulation.submitLongRunning("web", 4, 1_000);
         mSimulation.advance(Duration.ofSeconds(30));
         for (int i = 0; i < 10; i++) {
             submitFaulty("faulty-" + i, 6, 2);
@@ -139,7 +131,7 @@
     private void submitFaulty(String id, int jobs, int tasks) {
         for (int i = 0; i < jobs; i++) {
             mSimulation.addFaultyJob(id + "-" + i);
-            submitBatch(id + "-" + i, tasks);
+            mSimulation.submitBatch(id + "-" + i, tasks);
         }
     }
 }
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/TakeoverTest.java
@@ -31,6 +31,14 @@
         owner.report(vm, OwnerFixture.worker(vm, 1, 8_000, false), List.of(run), List.of(), false);
     }
 
+    /** Checks that the task of the earlier owner starts on the VM "other" after a time. */
+    private static void assertStartsAfter(Duration time, OwnerFixture owner) {
+        owner.advanceTime(time.minusMillis(100), "other");
+        assertThat(owner.mStarts).isEmpty();
+        owner.advanceTime(Duration.ofMillis(200), "other");
+        assertThat(owner.mStarts).hasSize(1);
+    }
+
     /**
      * Guards against a second run of a task that already runs on a VM that has not reported to the
      * new owner yet.
@@ -82,10 +90,7 @@
         OwnerFixture third = second.createSuccessor();
         third.addVm("other", 8_000);
         Duration timeout = OwnerFixture.SETTINGS.earlierLeaseTimeout();
-        third.advanceTime(timeout.minusMillis(100), "other");
-        assertThat(third.mStarts).isEmpty();
-        third.advanceTime(Duration.ofMillis(200), "other");
-        assertThat(third.mStarts).hasSize(1);
+        assertStartsAfter(timeout, third);
     }
 
     /**
@@ -141,10 +146,7 @@
         OwnerFixture newOwner = mEarlierOwner.createSuccessor();
         newOwner.addVm("other", 8_000);
         Duration leaseTimeout = OwnerFixture.SETTINGS.earlierLeaseTimeout();
-        newOwner.advanceTime(leaseTimeout.minusMillis(100), "other");
-        assertThat(newOwner.mStarts).isEmpty();
-        newOwner.advanceTime(Duration.ofMillis(200), "other");
-        assertThat(newOwner.mStarts).hasSize(1);
+        assertStartsAfter(leaseTimeout, newOwner);
         assertThat(newOwner.lastStart().mRunNumber()).isGreaterThan(order.mRunNumber());
     }
 
@@ -161,10 +163,7 @@
                 OwnerFixture.SETTINGS
                         .earlierLeaseTimeout()
                         .plus(OwnerFixture.SETTINGS.maxStoreSilence());
-        newOwner.advanceTime(timeout.minusMillis(100), "other");
-        assertThat(newOwner.mStarts).isEmpty();
-        newOwner.advanceTime(Duration.ofMillis(200), "other");
-        assertThat(newOwner.mStarts).hasSize(1);
+        assertStartsAfter(timeout, newOwner);
     }
 
     /**
@@ -181,10 +180,7 @@
         OwnerFixture third = second.createSuccessor();
         third.addVm("other", 8_000);
         Duration timeout = OwnerFixture.SETTINGS.earlierLeaseTimeout();
-        third.advanceTime(timeout.minusMillis(100), "other");
-        assertThat(third.mStarts).isEmpty();
-        third.advanceTime(Duration.ofMillis(200), "other");
-        assertThat(third.mStarts).hasSize(1);
+        assertStartsAfter(timeout, third);
     }
 
     /**
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/VmHoldTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/VmHoldTest.java
@@ -6,7 +6,6 @@
 import java.time.Instant;
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobQueue;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.StepSpec;
@@ -18,18 +17,12 @@
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.model.Resources;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests of what a hold keeps from less urgent long-running tasks. */
 class VmHoldTest {
     private final ManualClock mClock = new ManualClock(Instant.ofEpochSecond(1_000));
     private final OwnerState mState =
-            new OwnerState(
-                    OwnerFixture.settings(MixedLoad.scheduling(true)),
-                    mClock,
-                    null,
-                    DecisionLog.NONE,
-                    new Takeover(1, Timestamp.now(mClock), true));
+            OwnerFixture.createState(OwnerFixture.settings(MixedLoad.scheduling(true)), mClock, 1);
     private final Vm mVm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, mClock);
 
     private Task createTask(String id, JobQueue queue, StepSpec step) {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkMeasurementTest.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
-import org.knapweedbank.jobs.DecisionLog;
 import org.knapweedbank.jobs.JobSubmission;
 import org.knapweedbank.jobs.StepSpec;
 import org.knapweedbank.jobs.StepTraits;
@@ -18,7 +17,6 @@
 import org.knapweedbank.model.DaemonId;
 import org.knapweedbank.model.JobId;
 import org.knapweedbank.time.ManualClock;
-import org.knapweedbank.time.Timestamp;
 
 /** Tests what counts as completed work, with a filler task of 2 cores for an expected second. */
 class WorkMeasurementTest {
@@ -26,17 +24,10 @@
     private static final WorkPool POOL = new WorkPool("svc", WorkKind.FILLER);
 
     private final ManualClock mClock = new ManualClock(Instant.ofEpochSecond(1_000));
-    private final OwnerState mState =
-            new OwnerState(
-                    OwnerFixture.SETTINGS,
-                    mClock,
-                    new OwnerFixture(),
-                    DecisionLog.NONE,
-                    new Takeover(1, Timestamp.now(mClock), true));
+    private final OwnerState mState = OwnerFixture.createState(OwnerFixture.SETTINGS, mClock, 1);
     private final RunTracker mRunTracker = new RunTracker(mState);
     private final WorkMeasurement mMeasurement = new WorkMeasurement(mState);
-    private final Vm mVm =
-            new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, new ManualClock(Instant.EPOCH));
+    private final Vm mVm = new Vm(new DaemonId("a"), OwnerFixture.DATA_CENTRE, mClock);
     private final Task mTask = firstTask(OwnerFixture.step(1, 2_000, FILLER));
 
     private Task firstTask(StepSpec step) {
--- a/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkerSimulation.java
+++ b/jobs/src/test/java/org/knapweedbank/jobs/owner/WorkerSimulation.java
@@ -7,10 +7,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Random;
 import java.util.Set;
 import org.knapweedbank.jobs.EndKind;
 import org.knapweedbank.jobs.RunStatus;
+import org.knapweedbank.jobs.StepTraits;
 import org.knapweedbank.jobs.TaskName;
 import org.knapweedbank.model.DaemonId;
 
@@ -25,10 +25,6 @@
         SOUND,
         /** Each start fails at once; what runs already goes on. */
         FAILS_STARTS,
-        /** Half of the starts fail at once. */
-        FAILS_HALF,
-        /** Tasks fail after 600 ms of work, which is before batch tasks are done. */
-        FAILS_LATE,
         /** Tasks make no progress and do not end. */
         HANGS
     }
@@ -37,7 +33,6 @@
     private static final long LIST_INTERVAL_MILLIS = 500;
     private static final long BATCH_MILLIS = 1_000;
     private static final long READY_MILLIS = 500;
-    private static final long LATE_FAILURE_MILLIS = 600;
 
     final OwnerFixture mFixture;
     private final String[] mVms;
@@ -45,7 +40,6 @@
     private final Set<String> mFaultyJobs = new HashSet<>();
     private final Map<TaskName, RunningTask> mRunning = new HashMap<>();
     private final List<OwnerFixture.Order> mFailed = new ArrayList<>();
-    private Random mRandom = new Random(1);
     private long mTimeMillis;
     private int mOrdersSeen;
     private int mStopsSeen;
@@ -53,7 +47,6 @@
     private static final class RunningTask {
         private final OwnerFixture.Order mOrder;
         private long mWorkedMillis;
-        private boolean mFailsLate;
 
         private RunningTask(OwnerFixture.Order order) {
             mOrder = order;
@@ -73,8 +66,14 @@
         Arrays.stream(vms).forEach(vm -> mBehaviours.put(vm, behaviour));
     }
 
-    void setSeed(long seed) {
-        mRandom = new Random(seed);
+    /** Submits a job of long-running tasks; its identifier has to begin with "web". */
+    Job submitLongRunning(String id, int count, long milliCpu) {
+        return mFixture.submit(id, OwnerFixture.servingStep(count, milliCpu, 0));
+    }
+
+    /** Submits a job of batch tasks that request a core each. */
+    Job submitBatch(String id, int count) {
+        return mFixture.submit(id, OwnerFixture.step(count, 1_000, StepTraits.BATCH));
     }
 
     /** Makes all tasks of a job fail at once, wherever they start. */
@@ -133,19 +132,6 @@
                 .forEach(task -> end(task.mOrder, EndKind.FAILED));
     }
 
-    long countRunningOn(String vm) {
-        return mRunning.values().stream()
-                .filter(task -> task.mOrder.mVm().value().equals(vm))
-                .count();
-    }
-
-    /** Lets everything that runs on a VM fail. */
-    void failRunningOn(String vm) {
-        List.copyOf(mRunning.values()).stream()
-                .filter(task -> task.mOrder.mVm().value().equals(vm))
-                .forEach(task -> end(task.mOrder, EndKind.FAILED));
-    }
-
     private void tick() {
         mTimeMillis += TICK.toMillis();
         mFixture.advanceTime(TICK, mVms);
@@ -164,9 +150,7 @@
                 continue;
             }
             task.mWorkedMillis += TICK.toMillis();
-            if (task.mFailsLate && task.mWorkedMillis >= LATE_FAILURE_MILLIS) {
-                end(order, EndKind.FAILED);
-            } else if (task.mWorkedMillis >= BATCH_MILLIS && !isLongRunning(order)) {
+            if (task.mWorkedMillis >= BATCH_MILLIS && !isLongRunning(order)) {
                 end(order, EndKind.DONE);
             }
         }
@@ -186,12 +170,8 @@
         while (mOrdersSeen < mFixture.mStarts.size()) {
             OwnerFixture.Order order = mFixture.mStarts.get(mOrdersSeen++);
             mFixture.reportStarted(order);
-            RunningTask running = new RunningTask(order);
-            mRunning.put(order.mTask(), running);
-            Behaviour behaviour = mBehaviours.get(order.mVm().value());
-            running.mFailsLate = behaviour == Behaviour.FAILS_LATE;
-            if (behaviour == Behaviour.FAILS_STARTS
-                    || behaviour == Behaviour.FAILS_HALF && mRandom.nextBoolean()
+            mRunning.put(order.mTask(), new RunningTask(order));
+            if (mBehaviours.get(order.mVm().value()) == Behaviour.FAILS_STARTS
                     || mFaultyJobs.contains(order.mTask().job().value())) {
                 end(order, EndKind.FAILED);
             }
